Start a crashed stand-in replica only once its address is free

Cause: crash() armed the restart timer before it closed the listener. With a restart time of 1 ms the new listen could come first, fail on the address in use, and its error was dropped, so the replica never ran again. Ruled out: a lost wake-up of the waiting test (Running reads under the lock). Change: the life ends first, then the timer is armed; a start that fails on the address is tried again.

internal/peer: the panic (close of closed channel) was the test's: its second call may be taken before the shutdown begins, which is allowed. The handler now holds only the first call; the spec also checks that the refusal says not run and that the first call ran once.

--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -139,9 +139,14 @@
 	It("lets calls in hand finish at shutdown and refuses new ones as not run", func() {
 		entered := make(chan struct{})
 		release := make(chan struct{})
+		var runs atomic.Int64
 		srv := peer.Serve(listen(), options("f", "server"), peer.HandlerFunc(func(ctx context.Context, id peer.Identity, req *swpb.Envelope) (*swpb.Envelope, error) {
-			close(entered)
-			<-release
+			// A later call may be taken before the shutdown begins.
+			if req.GetSubRequest().GetRequestId() == "x" {
+				runs.Add(1)
+				close(entered)
+				<-release
+			}
 			return echo(ctx, id, req)
 		}))
 		c := peer.NewClient(srv.Addr(), options("f", "client"))
@@ -154,13 +159,20 @@
 		<-entered
 		down := make(chan error, 1)
 		go func() { down <- srv.Shutdown(ctx) }()
-		Eventually(func() verdict.Cause {
+		var refused *verdict.Error
+		Eventually(func() error {
 			_, err := c.Call(ctx, subRequest("y"))
-			return verdict.Of(err).Cause
-		}).WithTimeout(callTimeout).Should(Equal(verdict.ShuttingDown))
+			if err != nil {
+				refused = verdict.Of(err)
+			}
+			return err
+		}).WithTimeout(callTimeout).Should(HaveOccurred())
+		Expect(refused.Cause).To(Equal(verdict.ShuttingDown))
+		Expect(refused.Outcome).To(Equal(verdict.NotRun))
 		close(release)
 		Expect(<-first).NotTo(HaveOccurred())
 		Expect(<-down).NotTo(HaveOccurred())
+		Expect(runs.Load()).To(BeEquivalentTo(1))
 	})
 
 	It("tells every call that comes while an idle server stops that it did not run", func() {
--- a/internal/standin/upstream/replica.go
+++ b/internal/standin/upstream/replica.go
@@ -154,9 +154,25 @@
 		return
 	}
 	r.life = nil
-	r.restart = time.AfterFunc(r.cfg.Cold.Restart, func() { _ = r.startUnlessClosed() })
 	r.mu.Unlock()
+	// The address is free once the life has ended.
 	l.end()
+	r.startLater()
+}
+
+// startLater starts the replica after its restart time, unless it is closed or
+// started meanwhile. It tries again while another holds the address.
+func (r *Replica) startLater() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.closed || r.life != nil {
+		return
+	}
+	r.restart = time.AfterFunc(r.cfg.Cold.Restart, func() {
+		if err := r.startUnlessClosed(); err != nil && !errors.Is(err, ErrRunning) {
+			r.startLater()
+		}
+	})
 }
 
 func (r *Replica) startUnlessClosed() error {
--- a/internal/standin/upstream/upstream_test.go
+++ b/internal/standin/upstream/upstream_test.go
@@ -154,6 +154,17 @@
 		Expect(r.ColdPeak()).To(Equal(1))
 	})
 
+	It("starts again after every crash, also when its restart time is over at once", func() {
+		_, r := oneReplica(Options{Cold: ColdStart{Slow: 2, WarmAfter: 2, Restart: time.Nanosecond}})
+		for range 300 {
+			r.mu.Lock()
+			l := r.life
+			r.mu.Unlock()
+			r.crash(l)
+			Eventually(r.Running, "5s", "100us").Should(BeTrue())
+		}
+	})
+
 	It("resets connections past its limit and when it is killed", func() {
 		_, r := oneReplica(Options{})
 		for range 3 {
