--- a/internal/decide/hedge/hedge.go
+++ b/internal/decide/hedge/hedge.go
@@ -1,6 +1,10 @@
 package hedge
 
-import "time"
+import (
+	"time"
+
+	"github.com/sapphirewall/sapphirewall/internal/decide/quantile"
+)
 
 const (
 	// MaxShare bounds hedges as a share of fresh sub-requests.
@@ -11,12 +15,6 @@
 	burst = 10
 	// MinDelay is the shortest delay before a hedge.
 	MinDelay = 500 * time.Microsecond
-	// learnCount is the number of latencies before the delay can be used.
-	learnCount = 50
-	// learnStep and steadyStep are the relative changes of the delay by one
-	// latency, while it is being learned and afterwards.
-	learnStep  = 0.2
-	steadyStep = 0.02
 	// loadWeight is the weight of one reading of the load.
 	loadWeight = 1.0 / 16
 	// The load, as in-flight and waiting requests over limits, up to which
@@ -27,14 +25,13 @@
 
 // Hedger holds what is known of one pool. It is not safe for concurrent use.
 type Hedger struct {
-	delay  float64 // nanoseconds; the learned quantile
-	seen   int     // latencies observed, up to learnCount
+	delay  *quantile.Tracker
 	tokens float64 // hedges that can be afforded
 	load   float64 // smoothed
 }
 
 // New returns a Hedger that knows nothing and has no budget yet.
-func New() *Hedger { return &Hedger{} }
+func New() *Hedger { return &Hedger{delay: quantile.New(Quantile, MinDelay)} }
 
 // Sent counts one fresh sub-request: neither hedge nor retry. It earns a share
 // of a hedge.
@@ -46,22 +43,7 @@
 // up after its hedge won, pass the time that it had: the quantile needs no
 // more than on which side of it a latency lies. Latencies of hedges are not
 // passed.
-func (h *Hedger) Observe(latency time.Duration) {
-	x := float64(latency)
-	if h.seen == 0 {
-		h.delay = max(x, float64(MinDelay))
-	}
-	step := steadyStep
-	if h.seen < learnCount {
-		h.seen++
-		step = learnStep
-	}
-	if x > h.delay {
-		h.delay *= 1 + step*Quantile
-		return
-	}
-	h.delay = max(h.delay*(1-step*(1-Quantile)), float64(MinDelay))
-}
+func (h *Hedger) Observe(latency time.Duration) { h.delay.Observe(latency) }
 
 // ObserveLoad takes one reading of the load of the pool's replicas: requests
 // in flight and waiting over the limit. 1 means that all slots are taken.
@@ -71,14 +53,12 @@
 
 // Delay is the time after which a part without an answer is late; false while
 // too few latencies have been seen.
-func (h *Hedger) Delay() (time.Duration, bool) {
-	return time.Duration(h.delay), h.seen >= learnCount
-}
+func (h *Hedger) Delay() (time.Duration, bool) { return h.delay.Value() }
 
 // Take reports whether a late part may be sent again now, and if so spends the
 // budget for it.
 func (h *Hedger) Take() bool {
-	if h.seen < learnCount || h.tokens < 1 || h.grant() == 0 {
+	if _, learned := h.delay.Value(); !learned || h.tokens < 1 || h.grant() == 0 {
 		return false
 	}
 	h.tokens--
--- /dev/null
+++ b/internal/decide/placement/choose.go
@@ -0,0 +1,96 @@
+package placement
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Distance is how far a replica is.
+type Distance uint8
+
+// The distances, nearest first.
+const (
+	SameZone Distance = iota
+	SameRegion
+	OtherRegion
+)
+
+// The costs of a choice, in time that a request may rather wait.
+const (
+	// regionCost and zoneCost are what the bytes on the way cost: a part from
+	// another region costs about a fiftieth of a query's worth, as much as a
+	// wait of some hundredths of a second costs in answers that come late.
+	regionCost = 25 * time.Millisecond
+	zoneCost   = 5 * time.Millisecond
+	// silenceFactor is how long a silence is expected to go on, as a multiple
+	// of its age.
+	silenceFactor = 2
+	// restingCost and leavingCost put replicas behind all others.
+	restingCost = 2 * time.Second
+	leavingCost = 10 * time.Second
+	// jitter breaks ties between equal replicas, as a share of the usual time,
+	// so that VMs with the same view don't all choose the same one.
+	jitter = 0.1
+)
+
+// silentAfter is the silence, as a multiple of the usual latency, up to which a
+// replica is just at work.
+const silentAfter = 2
+
+// Candidate is a replica that may be chosen.
+type Candidate struct {
+	Replica  *Replica
+	Distance Distance
+	Leaving  bool // it must get no new work where there is another
+}
+
+// Choose returns the index of the candidate whose answer is expected first, or
+// -1 for none. usual is the typical latency of the request.
+func Choose(now time.Time, cands []Candidate, usual time.Duration, rng *rand.Rand) int {
+	best, bestCost := -1, time.Duration(0)
+	for i := range cands {
+		cost := cands[i].cost(now, usual)
+		cost += time.Duration(jitter * rng.Float64() * float64(usual))
+		if best < 0 || cost < bestCost {
+			best, bestCost = i, cost
+		}
+	}
+	return best
+}
+
+// cost is the expected time to an answer, with what else speaks against c.
+func (c *Candidate) cost(now time.Time, usual time.Duration) time.Duration {
+	r := c.Replica
+	run := time.Duration(float64(usual) * r.speedNow(now))
+	cost := run + r.wait(now, run)
+	if silence := r.Silence(now); silence > silentAfter*run {
+		cost += silenceFactor * silence
+	}
+	switch c.Distance {
+	case SameRegion:
+		cost += zoneCost
+	case OtherRegion:
+		cost += regionCost
+	}
+	if r.Resting(now) {
+		cost += restingCost
+	}
+	if c.Leaving {
+		cost += leavingCost
+	}
+	return cost
+}
+
+// wait is the expected wait for a slot: what this VM has there, or what the
+// replica told, whichever is more.
+func (r *Replica) wait(now time.Time, run time.Duration) time.Duration {
+	busy := float64(len(r.sent))
+	if told := float64(r.running + r.waiting); told > 0 {
+		age := now.Sub(r.loadAt)
+		busy = max(busy, told*float64(loadHalfLife)/float64(loadHalfLife+max(age, 0)))
+	}
+	if over := busy + 1 - float64(r.slots); over > 0 {
+		return time.Duration(over / float64(r.slots) * float64(run))
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/decide/placement/replica.go
@@ -0,0 +1,148 @@
+package placement
+
+import (
+	"math"
+	"time"
+)
+
+// The constants of the evidence.
+const (
+	// speedWeight is the weight of one latency in the learned speed: about
+	// seven answers tell a change, one long request doesn't.
+	speedWeight = 0.15
+	// maxRatio bounds what one latency counts, as a multiple of the usual.
+	maxRatio = 30
+	// speedHalfLife is the time in which half of a learned slowness is
+	// forgotten without new answers, so that a replica is tried again.
+	speedHalfLife = 2 * time.Second
+	// loadHalfLife is the age at which a told load counts half: a few runs.
+	loadHalfLife = 50 * time.Millisecond
+	// firstPause and longestPause bound how long a replica is left alone after
+	// failures: at first for about one objective, later such that a replica
+	// that is back is found within a second or two.
+	firstPause   = 100 * time.Millisecond
+	longestPause = 1500 * time.Millisecond
+	// defaultSlots stands in for an unknown number of slots.
+	defaultSlots = 4
+)
+
+// Replica is the evidence on one replica. It is not safe for concurrent use.
+type Replica struct {
+	slots    int
+	sent     []time.Time // of the attempts without an answer, oldest first
+	answered time.Time   // last answer
+	speed    float64     // latency over the usual, smoothed
+	speedAt  time.Time
+	waiting  int // told load beyond this VM's own share
+	running  int
+	loadAt   time.Time
+	failures int // in a row
+	until    time.Time
+}
+
+// NewReplica returns a replica that nothing is known of. slots is the number of
+// requests that it runs at once, 0 if unknown.
+func NewReplica(slots int) *Replica {
+	if slots <= 0 {
+		slots = defaultSlots
+	}
+	return &Replica{slots: slots, speed: 1}
+}
+
+// Sent takes an attempt that begins now.
+func (r *Replica) Sent(now time.Time) { r.sent = append(r.sent, now) }
+
+// Answered takes the end of an attempt by a whole answer. usual is the typical
+// latency of such requests, 0 if unknown.
+func (r *Replica) Answered(now, sentAt time.Time, usual time.Duration) {
+	r.drop(sentAt)
+	r.answered = now
+	r.failures = 0
+	if usual > 0 {
+		r.learn(now, float64(now.Sub(sentAt))/float64(usual))
+	}
+}
+
+// GaveUp takes an attempt that is not waited for any more: its latency is at
+// least what has passed.
+func (r *Replica) GaveUp(now, sentAt time.Time, usual time.Duration) {
+	r.drop(sentAt)
+	if ratio := float64(now.Sub(sentAt)) / float64(usual); usual > 0 && ratio > r.speedNow(now) {
+		r.learn(now, ratio)
+	}
+}
+
+// Withdrawn takes an attempt that ended without telling anything.
+func (r *Replica) Withdrawn(sentAt time.Time) { r.drop(sentAt) }
+
+// Failed takes an attempt that ended in a failure of the replica or of the way
+// to it. The replica is left alone for a time that grows.
+func (r *Replica) Failed(now, sentAt time.Time) {
+	r.drop(sentAt)
+	if now.Before(r.until) {
+		return // attempts that were in flight together fail together
+	}
+	r.failures++
+	r.until = now.Add(min(firstPause<<min(r.failures-1, 10), longestPause))
+}
+
+// Shed takes a refusal for want of room: the replica is full and well.
+func (r *Replica) Shed(now, sentAt time.Time) {
+	r.drop(sentAt)
+	r.answered = now
+	r.running, r.waiting, r.loadAt = r.slots, r.slots, now
+}
+
+// Loaded takes the load that the replica tells of itself.
+func (r *Replica) Loaded(now time.Time, running, waiting, slots int) {
+	if slots > 0 {
+		r.slots = slots
+	}
+	r.running, r.waiting, r.loadAt = running, waiting, now
+}
+
+// Outstanding is the number of attempts without an answer.
+func (r *Replica) Outstanding() int { return len(r.sent) }
+
+// Silence is how long the replica has owed an answer without giving any; 0 if
+// it owes none.
+func (r *Replica) Silence(now time.Time) time.Duration {
+	if len(r.sent) == 0 {
+		return 0
+	}
+	since := r.sent[0]
+	if r.answered.After(since) {
+		since = r.answered
+	}
+	return now.Sub(since)
+}
+
+// Resting reports whether the replica is left alone after failures. Once its
+// pause is over one attempt at a time tries it.
+func (r *Replica) Resting(now time.Time) bool {
+	return r.failures > 0 && (now.Before(r.until) || len(r.sent) > 0)
+}
+
+func (r *Replica) learn(now time.Time, ratio float64) {
+	speed := r.speedNow(now)
+	r.speed = speed + speedWeight*(min(ratio, maxRatio)-speed)
+	r.speedAt = now
+}
+
+// speedNow is the learned speed, of which a slowness fades without answers.
+func (r *Replica) speedNow(now time.Time) float64 {
+	if r.speed <= 1 {
+		return r.speed
+	}
+	age := now.Sub(r.speedAt).Seconds() / speedHalfLife.Seconds()
+	return 1 + (r.speed-1)*math.Exp2(-age)
+}
+
+func (r *Replica) drop(sentAt time.Time) {
+	for i, at := range r.sent {
+		if at.Equal(sentAt) {
+			r.sent = append(r.sent[:i], r.sent[i+1:]...)
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/direct/options.go
@@ -0,0 +1,60 @@
+package direct
+
+import (
+	"time"
+
+	"github.com/sapphirewall/sapphirewall/internal/link"
+)
+
+// Options configure the service.
+type Options struct {
+	Node    string
+	Zone    string
+	Regions map[string]string // zone to region, of all zones
+	Codec   link.Codec
+	Dial    link.DialFunc
+	// RetryShare is the number of extra sends that the platform allows for each
+	// request, and RetrySlack how many the whole fleet may make beside.
+	RetryShare float64
+	RetrySlack float64
+}
+
+// The constants of the service.
+const (
+	// shareUsed and slackUsed are the parts of the fleet's bound on extra sends
+	// that are used. The rest covers windows that cut a burst in two and
+	// requests that never arrived.
+	shareUsed = 0.8
+	slackUsed = 0.5
+	// answerMargin is how long before the objective an answer without all parts
+	// goes out: the way to the caller, merging and late timers.
+	answerMargin = 12 * time.Millisecond
+	// budgetMargin is how long before the caller leaves it gets its last word.
+	budgetMargin = 25 * time.Millisecond
+	// leastBudget is the time without which no replica can answer.
+	leastBudget = 5 * time.Millisecond
+	// hedgeQuantile is the quantile of a route's latency after which a part is
+	// late, and hedgeStretch the multiple of it that is waited for.
+	hedgeQuantile = 0.9
+	hedgeStretch  = 1.15
+	// hedgeLatest bounds the wait before a hedge, as a share of the objective,
+	// so that the hedge has the greater part for itself.
+	hedgeLatest = 0.35
+	// leastLatency is the shortest latency that is learned.
+	leastLatency = time.Millisecond
+	// leftGrace is how long a replica may go on with a request whose caller has
+	// left: most parts end in that time, and a connection that needn't be closed
+	// needn't be opened again.
+	leftGrace = 250 * time.Millisecond
+	// lateGrace is how long the answer to an attempt that lost to its hedge is
+	// still read, to learn from it and keep the connection.
+	lateGrace = 1500 * time.Millisecond
+	// sweepEvery is the time between two looks at overdue flights.
+	sweepEvery = 50 * time.Millisecond
+	// fleetGuess is the number of VMs that share a replica's connections while
+	// nothing is known of the fleet.
+	fleetGuess = 10
+	// leastConnections is the number of connections to a replica that a VM may
+	// hold however many VMs there are.
+	leastConnections = 2
+)
--- /dev/null
+++ b/internal/direct/request.go
@@ -0,0 +1,32 @@
+package direct
+
+import (
+	"time"
+
+	"github.com/sapphirewall/sapphirewall/internal/link"
+	"github.com/sapphirewall/sapphirewall/internal/verdict"
+)
+
+// Request is what a caller asks.
+type Request struct {
+	link.Request
+	Path    string        // of Target, without the query
+	Budget  time.Duration // how long the caller will wait; 0: it doesn't say
+	Arrived time.Time
+	Left    <-chan struct{} // closed when the caller has left
+}
+
+// Answer is what the caller gets. Exactly one of Reply, Gathered and Refusal is
+// set.
+type Answer struct {
+	Reply    *link.Reply // a replica's answer, to be passed on unchanged
+	Gathered *Gathered
+	Refusal  *verdict.Error
+}
+
+// Gathered is the answer to a query over many shards.
+type Gathered struct {
+	Receipts []string // of the parts in it
+	Missing  int      // parts left out
+	Body     []byte
+}
--- /dev/null
+++ b/internal/direct/serve.go
@@ -0,0 +1,283 @@
+package direct
+
+import (
+	"math"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/sapphirewall/sapphirewall/internal/decide/gather"
+	"github.com/sapphirewall/sapphirewall/internal/link"
+	"github.com/sapphirewall/sapphirewall/internal/tables"
+	"github.com/sapphirewall/sapphirewall/internal/topk"
+	"github.com/sapphirewall/sapphirewall/internal/verdict"
+)
+
+// Retry-After for refusals that don't depend on load.
+const (
+	retryNotReady  = 500 * time.Millisecond // tables are read within about this time after a start
+	retryNoReplica = time.Second            // upstreams come back within seconds
+)
+
+// call is one request in hand. Its goroutine owns it; results come over a
+// channel.
+type call struct {
+	s       *Service
+	req     *Request
+	force   *inForce
+	route   *tables.Route
+	pools   []string // of the parts
+	stats   *routeStats
+	usual   time.Duration // typical latency of an attempt
+	machine *gather.Machine
+
+	deadline    time.Time
+	fingerprint uint64
+	results     chan *attempt
+	parts       []*link.Reply // by part; nil: not in
+	tried       [][]string    // replicas asked, by part
+	inFlight    []*attempt
+	worst       *verdict.Error // of the attempts that brought nothing
+	failure     *link.Reply    // a replica's own failure
+	sends       [3]int         // by gather.Extra
+}
+
+// attempt is one flight of a call.
+type attempt struct {
+	call    *call
+	part    int
+	extra   gather.Extra
+	replica *replica
+	flight  link.Flight
+}
+
+// Serve answers a request.
+func (s *Service) Serve(req *Request) *Answer {
+	c, refusal := s.begin(req)
+	if refusal != nil {
+		s.refused(req, c, refusal)
+		return &Answer{Refusal: refusal}
+	}
+	ans := c.run()
+	s.ended(c, ans)
+	return ans
+}
+
+// begin finds the route and prepares the call. The error is a refusal.
+func (s *Service) begin(req *Request) (*call, *verdict.Error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	force := s.now
+	if force == nil || !s.listed {
+		return nil, verdict.New(verdict.NotRun, verdict.NotReady, "no tables in force yet").After(retryNotReady)
+	}
+	route := force.index.Find(req.Host, req.Path)
+	if route == nil {
+		return nil, verdict.Newf(verdict.NotRun, verdict.UnknownRoute, "no route for this host and path at revision %d", force.tables.Revision)
+	}
+	c := &call{s: s, req: req, force: force, route: route, fingerprint: fingerprint(req)}
+	if after, poisoned := s.poison.Refuse(req.Arrived, c.fingerprint); poisoned {
+		return c, verdict.New(verdict.NotRun, verdict.Poison, "requests like this one crash upstreams").After(after)
+	}
+	limit := route.Deadline
+	if req.Budget > 0 {
+		limit = min(limit, req.Budget-budgetMargin)
+	}
+	if limit < leastBudget {
+		return c, verdict.Newf(verdict.NotRun, verdict.Deadline, "%d ms are too short for an answer", req.Budget.Milliseconds()).After(retryNotReady)
+	}
+	c.deadline = req.Arrived.Add(limit)
+	c.pools = s.poolsFor(route)
+	c.stats = s.statsOf(route.Name)
+	c.usual, _ = c.stats.usual.Value()
+	c.prepare()
+	if n, need := s.servable(c), c.need(); n < need {
+		return c, verdict.Newf(verdict.NotRun, verdict.NoReplica, "%d of %d parts have a replica, %d are needed", n, len(c.pools), need).After(retryNoReplica)
+	}
+	return c, nil
+}
+
+// poolsFor returns the pools of a request's parts: all of a query, one of an
+// action. s.mu is held.
+func (s *Service) poolsFor(route *tables.Route) []string {
+	if route.Kind == tables.Query || len(route.Pools) == 1 || len(route.Weights) != len(route.Pools) {
+		return route.Pools
+	}
+	total := 0.0
+	for _, w := range route.Weights {
+		total += w
+	}
+	at := s.rng.Float64() * total
+	for i, w := range route.Weights {
+		if at -= w; at < 0 {
+			return route.Pools[i : i+1]
+		}
+	}
+	return route.Pools[:1]
+}
+
+// need is the number of parts without which there is no answer.
+func (c *call) need() int {
+	if c.route.Kind != tables.Query {
+		return 1
+	}
+	const rounding = 1e-9 // of a share times a count
+	return max(1, int(math.Ceil(c.route.MinCoverage*float64(len(c.pools))-rounding)))
+}
+
+// servable counts the parts that some replica can take. s.mu is held.
+func (s *Service) servable(c *call) int {
+	n := 0
+	for _, name := range c.pools {
+		for _, r := range s.poolOf(name).replicas {
+			if s.allowed(c, r) {
+				n++
+				break
+			}
+		}
+	}
+	return n
+}
+
+// prepare makes the machine and the room for results.
+func (c *call) prepare() {
+	n := len(c.pools)
+	attempts := c.route.MaxAttempts
+	if attempts <= 0 {
+		attempts = 2
+	}
+	objective := c.route.Objective
+	if objective <= 0 {
+		objective = c.route.Deadline
+	}
+	hedgeAfter := time.Duration(hedgeLatest * float64(objective))
+	if late, ok := c.stats.late.Value(); ok {
+		hedgeAfter = min(hedgeAfter, time.Duration(hedgeStretch*float64(late)))
+	}
+	c.machine = gather.New(gather.Config{
+		Parts: n, Need: c.need(), Attempts: attempts, Idempotent: c.route.Idempotent,
+		AnswerBy: c.req.Arrived.Add(objective - answerMargin), Deadline: c.deadline, HedgeAfter: hedgeAfter,
+	})
+	c.results = make(chan *attempt, n*(attempts+maxResends))
+	c.parts = make([]*link.Reply, n)
+	c.tried = make([][]string, n)
+}
+
+// run carries the call to its end.
+func (c *call) run() *Answer {
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	for {
+		outcome, wake := c.step(time.Now())
+		if outcome != gather.Pending {
+			c.withdraw(lateGrace)
+			return c.answer(outcome)
+		}
+		timer.Reset(time.Until(wake))
+		select {
+		case a := <-c.results:
+			c.take(a)
+			c.takeAll()
+		case <-timer.C:
+		case <-c.req.Left:
+			c.withdraw(leftGrace)
+			return &Answer{Refusal: verdict.New(verdict.MayHaveRun, verdict.Cancelled, "the caller has left")}
+		}
+	}
+}
+
+// takeAll takes the results that have come meanwhile.
+func (c *call) takeAll() {
+	for {
+		select {
+		case a := <-c.results:
+			c.take(a)
+		default:
+			return
+		}
+	}
+}
+
+// step decides, and sends what was decided.
+func (c *call) step(now time.Time) (gather.Outcome, time.Time) {
+	for {
+		sends, outcome, wake := c.machine.Decide(now)
+		if outcome != gather.Pending || len(sends) == 0 {
+			return outcome, wake
+		}
+		c.s.mu.Lock()
+		started := make([]*attempt, 0, len(sends))
+		for _, send := range sends {
+			if a := c.place(now, send); a != nil {
+				started = append(started, a)
+			}
+		}
+		c.s.mu.Unlock()
+		for _, a := range started {
+			a.replica.peer.Send(&a.flight)
+		}
+	}
+}
+
+// withdraw tells the links that nobody waits for the attempts in flight.
+func (c *call) withdraw(after time.Duration) {
+	for _, a := range c.inFlight {
+		a.replica.peer.Withdraw(&a.flight, after)
+	}
+}
+
+// answer turns the end of the machine into what the caller gets.
+func (c *call) answer(o gather.Outcome) *Answer {
+	switch {
+	case o == gather.Answer && c.route.Merge == tables.MergeTop:
+		return &Answer{Gathered: c.merge()}
+	case o == gather.Answer:
+		return &Answer{Reply: c.parts[0]}
+	case c.failure != nil && c.route.Kind != tables.Query:
+		return &Answer{Reply: c.failure}
+	case o == gather.Expired:
+		return &Answer{Refusal: c.refusal(verdict.Deadline, "no answer before the deadline")}
+	}
+	return &Answer{Refusal: c.refusal(verdict.LowCoverage, "the needed parts can't be had")}
+}
+
+// merge joins the parts that are in.
+func (c *call) merge() *Gathered {
+	g := &Gathered{}
+	var bodies [][]byte
+	for _, p := range c.parts {
+		if p == nil {
+			g.Missing++
+			continue
+		}
+		g.Receipts = append(g.Receipts, p.Receipt)
+		bodies = append(bodies, p.Body)
+	}
+	g.Body = topk.Merge(bodies, c.route.Top)
+	return g
+}
+
+// refusal is the verdict on a call without an answer. It says that the request
+// did not run only if that is known of every attempt.
+func (c *call) refusal(cause verdict.Cause, detail string) *verdict.Error {
+	v := verdict.New(verdict.NotRun, cause, detail)
+	if c.worst != nil {
+		v = verdict.New(c.worst.Outcome, c.worst.Cause, detail+": "+c.worst.Detail)
+	}
+	if c.machine.In() > 0 || len(c.inFlight) > 0 {
+		v.Outcome = verdict.MayHaveRun
+	}
+	return v.After(retryNoReplica)
+}
+
+// fingerprint tells requests apart that ask for different things.
+func fingerprint(req *Request) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	for _, part := range []string{req.Method, req.Host, req.Target} {
+		_, _ = d.WriteString(part)
+		_, _ = d.Write([]byte{0})
+	}
+	_, _ = d.Write(req.Body)
+	return d.Sum64()
+}
--- /dev/null
+++ b/internal/direct/service.go
@@ -0,0 +1,153 @@
+package direct
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/sapphirewall/sapphirewall/internal/decide/discovery"
+	"github.com/sapphirewall/sapphirewall/internal/decide/poison"
+	"github.com/sapphirewall/sapphirewall/internal/kernel"
+	"github.com/sapphirewall/sapphirewall/internal/routes"
+	"github.com/sapphirewall/sapphirewall/internal/tables"
+	"github.com/sapphirewall/sapphirewall/internal/telemetry"
+)
+
+// ServiceName is the kernel name of the service.
+const ServiceName = "direct"
+
+// The reasons why the service is not ready.
+var (
+	ErrNoTables    = errors.New("direct: no tables in force yet")
+	ErrNoUpstreams = errors.New("direct: upstreams not read yet")
+)
+
+// inForce is one revision of the tables with its index. It is immutable.
+type inForce struct {
+	tables *tables.Tables
+	index  *routes.Index
+	since  time.Time
+}
+
+// Service runs requests. It is safe for concurrent use.
+type Service struct {
+	opts    Options
+	log     *telemetry.Budgeted
+	metrics metrics
+
+	mu        sync.Mutex // guards all below
+	now       *inForce   // nil: no tables yet
+	upstreams *discovery.Machine
+	listed    bool // the upstreams have been read once
+	zonesOut  map[string]bool
+	replicas  map[string]*replica // by upstream ID
+	pools     map[string]*pool
+	routes    map[string]*routeStats
+	poison    *poison.Tracker
+	rng       *rand.Rand
+	storeAway time.Time // since when; zero: it is reached
+
+	wake chan struct{} // tells that beliefs may change at another time
+	stop context.CancelFunc
+	done chan struct{}
+}
+
+// New returns a service that knows nothing yet.
+func New(o Options, log zerolog.Logger) *Service {
+	return &Service{
+		opts: o, log: telemetry.NewBudgeted(log), metrics: newMetrics(),
+		upstreams: discovery.New(), zonesOut: map[string]bool{}, replicas: map[string]*replica{},
+		pools: map[string]*pool{}, routes: map[string]*routeStats{}, poison: poison.NewTracker(),
+		rng:  rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		wake: make(chan struct{}, 1), done: make(chan struct{}),
+	}
+}
+
+// Name implements kernel.Service.
+func (s *Service) Name() string { return ServiceName }
+
+// Needs implements kernel.Service.
+func (s *Service) Needs() []string { return nil }
+
+// Start implements kernel.Service.
+func (s *Service) Start(ctx context.Context, _ *kernel.Kernel) error {
+	ctx, s.stop = context.WithCancel(ctx)
+	go s.tend(ctx)
+	return nil
+}
+
+// Stop implements kernel.Service.
+func (s *Service) Stop(context.Context) error {
+	s.stop()
+	<-s.done
+	s.log.Flush()
+	return nil
+}
+
+// Ready implements kernel.Service.
+func (s *Service) Ready() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case s.now == nil:
+		return ErrNoTables
+	case !s.listed:
+		return ErrNoUpstreams
+	}
+	return nil
+}
+
+// tend closes overdue connections and takes changes that come with time.
+func (s *Service) tend(ctx context.Context) {
+	defer close(s.done)
+	tick := time.NewTicker(sweepEvery)
+	defer tick.Stop()
+	refresh := time.NewTimer(time.Hour)
+	defer refresh.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-tick.C:
+			s.sweep(now)
+			s.log.Tick(now)
+			continue
+		case <-s.wake:
+		case <-refresh.C:
+		}
+		if next := s.refresh(time.Now()); !next.IsZero() {
+			refresh.Reset(max(time.Until(next), time.Millisecond))
+		}
+	}
+}
+
+func (s *Service) sweep(now time.Time) {
+	s.mu.Lock()
+	peers := make([]*replica, 0, len(s.replicas))
+	for _, r := range s.replicas {
+		peers = append(peers, r)
+	}
+	s.mu.Unlock()
+	for _, r := range peers {
+		r.peer.Sweep(now)
+	}
+}
+
+// Reload takes changed bounds on extra sends; the other options hold until the
+// next start.
+func (s *Service) Reload(o Options) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	changed := s.opts.RetryShare != o.RetryShare || s.opts.RetrySlack != o.RetrySlack
+	s.opts.RetryShare, s.opts.RetrySlack = o.RetryShare, o.RetrySlack
+	if changed {
+		for _, p := range s.pools {
+			p.extra = s.newBudget()
+		}
+	}
+	s.log.Info("settings").Bool("changed", changed).Float64("retry_share", o.RetryShare).Float64("retry_slack", o.RetrySlack).Msg("settings in force")
+}
--- /dev/null
+++ b/internal/front/conn.go
@@ -0,0 +1,183 @@
+package front
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// conn is one caller's connection. One goroutine reads requests and another
+// answers them in order.
+type conn struct {
+	server  *Server
+	nc      net.Conn
+	br      *bufio.Reader
+	bw      *bufio.Writer
+	next    chan *incoming
+	left    chan struct{} // closed when reading has ended
+	stopped atomic.Bool   // no more requests are read
+}
+
+// incoming is a request, or the status with which an unreadable one is refused.
+type incoming struct {
+	request *fasthttp.Request
+	arrived time.Time
+	status  int
+}
+
+func newConn(s *Server, nc net.Conn) *conn {
+	return &conn{
+		server: s, nc: nc, next: make(chan *incoming), left: make(chan struct{}),
+		br: bufio.NewReaderSize(nc, s.limits.Load().HeaderBytes), bw: bufio.NewWriterSize(nc, 2<<10),
+	}
+}
+
+// stopReading ends the wait for another request.
+func (c *conn) stopReading() {
+	c.stopped.Store(true)
+	_ = c.nc.SetReadDeadline(time.Unix(1, 0))
+}
+
+// read hands requests over until the connection ends or is stopped.
+func (c *conn) read() {
+	defer close(c.next)
+	for !c.stopped.Load() {
+		in := c.readOne()
+		if in == nil {
+			if !c.stopped.Load() {
+				close(c.left)
+			}
+			return
+		}
+		c.server.active.Add(1)
+		c.next <- in
+		if in.status != 0 {
+			return
+		}
+	}
+}
+
+// readOne returns the next request, or nil when there is none.
+func (c *conn) readOne() *incoming {
+	limits := c.server.limits.Load()
+	c.setReadDeadline(limits.IdleTimeout)
+	if _, err := c.br.Peek(1); err != nil {
+		return nil
+	}
+	c.setReadDeadline(limits.HeaderTimeout)
+	req := fasthttp.AcquireRequest()
+	req.Header.DisableNormalizing()
+	if err := req.Header.Read(c.br); err != nil {
+		return refusal(err)
+	}
+	if conflictingLength(req) {
+		return &incoming{status: fasthttp.StatusBadRequest}
+	}
+	if req.MayContinue() {
+		if _, err := c.nc.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
+			return nil
+		}
+	}
+	if err := req.ContinueReadBody(c.br, limits.BodyBytes, false); err != nil {
+		return refusal(err)
+	}
+	c.setReadDeadline(0)
+	return &incoming{request: req, arrived: time.Now()}
+}
+
+// setReadDeadline sets the time for the next read; 0 is none. Once the
+// connection is stopped its deadline stays in the past.
+func (c *conn) setReadDeadline(d time.Duration) {
+	at := time.Time{}
+	if d > 0 {
+		at = time.Now().Add(d)
+	}
+	_ = c.nc.SetReadDeadline(at)
+	if c.stopped.Load() {
+		_ = c.nc.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
+// conflictingLength finds a request that states its length twice over, which
+// two readers may understand differently.
+func conflictingLength(req *fasthttp.Request) bool {
+	return len(req.Header.Peek(fasthttp.HeaderTransferEncoding)) > 0 && len(req.Header.Peek(fasthttp.HeaderContentLength)) > 0
+}
+
+// refusal returns the status for a request that can't be read, or nil when the
+// caller has left.
+func refusal(err error) *incoming {
+	var small *fasthttp.ErrSmallBuffer
+	var ne net.Error
+	switch {
+	case errors.As(err, &small):
+		return &incoming{status: fasthttp.StatusRequestHeaderFieldsTooLarge}
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		return &incoming{status: fasthttp.StatusRequestEntityTooLarge}
+	case errors.As(err, &ne) && ne.Timeout():
+		return &incoming{status: fasthttp.StatusRequestTimeout}
+	case isConnectionError(err):
+		return nil
+	}
+	return &incoming{status: fasthttp.StatusBadRequest}
+}
+
+// isConnectionError tells the end of a connection from bytes that are no request.
+func isConnectionError(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) || errors.Is(err, net.ErrClosed) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)
+}
+
+// answer answers requests until the connection is over.
+func (c *conn) answer() {
+	for in := range c.next {
+		keep := c.answerOne(in)
+		c.server.active.Add(-1)
+		if !keep {
+			break
+		}
+	}
+	c.stopReading()
+	_ = c.nc.Close()
+	for range c.next { // a request that crossed the close
+		c.server.active.Add(-1)
+	}
+	c.server.forget(c)
+}
+
+// answerOne writes one answer and reports whether the connection stays open.
+func (c *conn) answerOne(in *incoming) bool {
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(resp)
+	resp.Header.DisableNormalizing()
+	resp.Header.SetNoDefaultContentType(true)
+	if in.status != 0 {
+		resp.SetStatusCode(in.status)
+		resp.SetConnectionClose()
+		_ = c.write(resp)
+		return false
+	}
+	defer fasthttp.ReleaseRequest(in.request)
+	c.server.handler(&Exchange{Request: in.request, Response: resp, Arrived: in.arrived, Left: c.left})
+	if in.request.Header.IsHead() {
+		resp.SkipBody = true
+	}
+	last := in.request.ConnectionClose() || c.server.draining.Load()
+	if last {
+		resp.SetConnectionClose()
+	}
+	return c.write(resp) == nil && !last
+}
+
+func (c *conn) write(resp *fasthttp.Response) error {
+	_ = c.nc.SetWriteDeadline(time.Now().Add(writeTimeout))
+	if err := resp.Write(c.bw); err != nil {
+		return err
+	}
+	return c.bw.Flush()
+}
--- a/internal/launch/launch.go
+++ b/internal/launch/launch.go
@@ -73,6 +73,10 @@
 	Admin    func(*settings.Settings) string // address of the admin service
 	// Register adds the program's services to env.Kernel.
 	Register func(env *Env) error
+	// LogToStdout makes the logs go to standard output, without ever blocking.
+	LogToStdout bool
+	// Reload takes the settings as they are after SIGHUP; nil: it is ignored.
+	Reload func(env *Env, s *settings.Settings)
 }
 
 // Main runs the program with the arguments of the process and returns the
@@ -121,10 +125,16 @@
 	}
 	override(&s.Log.Level, *level)
 	override(&s.Log.Format, *format)
-	return p.serve(ctx, s, stderr)
+	logs := stderr
+	if p.LogToStdout {
+		async := telemetry.NewAsync(stdout)
+		defer async.Close()
+		logs = async
+	}
+	return p.serve(ctx, s, *config, logs)
 }
 
-func (p Program) serve(ctx context.Context, s *settings.Settings, stderr io.Writer) int {
+func (p Program) serve(ctx context.Context, s *settings.Settings, config string, stderr io.Writer) int {
 	log, err := telemetry.NewLogger(stderr, s.Log.Level, s.Log.Format, p.Name, s.Node.ID)
 	if err != nil {
 		_, _ = fmt.Fprintln(stderr, err)
@@ -151,6 +161,7 @@
 		return ExitFailed
 	}
 	log.Info().Str("version", Version()).Msg("starting")
+	defer p.reloadOnHangup(env, config)()
 	err = env.Kernel.Run(ctx, s.Node.Grace)
 	_ = tracer.Shutdown(context.WithoutCancel(ctx))
 	if err != nil {
@@ -161,6 +172,31 @@
 	return ExitOK
 }
 
+// reloadOnHangup reads the settings again at each SIGHUP until the returned
+// function is called. Settings that can't be read change nothing.
+func (p Program) reloadOnHangup(env *Env, config string) func() {
+	if p.Reload == nil {
+		return func() {}
+	}
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	go func() {
+		for range hangups {
+			s, err := load(config)
+			if err != nil {
+				env.Log.Error().Err(err).Msg("settings can't be read; those in force stay")
+				continue
+			}
+			env.Log.Info().Msg("settings read again")
+			p.Reload(env, s)
+		}
+	}()
+	return func() {
+		signal.Stop(hangups)
+		close(hangups)
+	}
+}
+
 // load reads the settings file, or returns the defaults for an empty path.
 func load(path string) (*settings.Settings, error) {
 	if path == "" {
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -19,6 +19,7 @@
 	ErrLeaseNotFound = errors.New("platform: lease not found")
 	ErrTooLarge      = errors.New("platform: value too large")
 	ErrBudget        = errors.New("platform: call budget used up, not sent")
+	ErrCompacted     = errors.New("platform: the history after the revision is gone")
 )
 
 // LeaseID names a lease; 0 is no lease.
@@ -64,6 +65,16 @@
 	Entries  []Entry `json:"entries"`
 }
 
+// Watcher follows the keys of a prefix.
+type Watcher interface {
+	// Snapshot returns the entries whose keys begin with prefix, and a
+	// revision from which a watch tells all that has changed since.
+	Snapshot(ctx context.Context, prefix string) (Changes, error)
+	// Watch waits as KV's does. It returns ErrCompacted when the changes after
+	// from can't be told any more.
+	Watch(ctx context.Context, prefix string, from uint64, wait time.Duration) (Changes, error)
+}
+
 // VMState is the platform's word on a VM.
 type VMState string
 
--- /dev/null
+++ b/internal/platform/transport.go
@@ -0,0 +1,168 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/valyala/fasthttp"
+)
+
+// The limits of a transport's connections.
+const (
+	maxConns      = 64
+	maxIdle       = 30 * time.Second
+	maxReplyBytes = 64 << 20
+	// WatchReplySlack is how much longer than its wait a watch may take.
+	WatchReplySlack = time.Second
+)
+
+// keepAlive finds a connection that has gone silent under a long watch within
+// about two seconds.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: 500 * time.Millisecond, Count: 3}
+
+// Transport makes HTTP calls with JSON bodies to one service of the platform.
+// It never repeats a call and is safe for concurrent use.
+type Transport struct {
+	host    *fasthttp.HostClient
+	timeout time.Duration
+	calls   atomic.Uint64
+	errorOf func(status int, body []byte) error
+}
+
+// NewTransport returns the transport to an address, IP:port. A call without a
+// reply after timeout has failed. errorOf gives the error that a reply other
+// than 200 states, or nil if it states none; each such error says that a write
+// was not applied.
+func NewTransport(addr string, timeout time.Duration, errorOf func(status int, body []byte) error) *Transport {
+	dialer := &net.Dialer{Timeout: timeout, KeepAliveConfig: keepAlive}
+	return &Transport{
+		timeout: timeout, errorOf: errorOf,
+		host: &fasthttp.HostClient{
+			Addr: addr,
+			Dial: func(addr string) (net.Conn, error) {
+				c, err := dialer.Dial("tcp", addr)
+				if err != nil {
+					return nil, &dialError{err}
+				}
+				return c, nil
+			},
+			MaxConns:                  maxConns,
+			MaxIdleConnDuration:       maxIdle,
+			MaxIdemponentCallAttempts: 1,
+			RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+			MaxResponseBodySize:       maxReplyBytes,
+			NoDefaultUserAgentHeader:  true,
+		},
+	}
+}
+
+// Calls returns the number of calls made so far.
+func (t *Transport) Calls() uint64 { return t.calls.Load() }
+
+// Close closes idle connections.
+func (t *Transport) Close() { t.host.CloseIdleConnections() }
+
+// Call is one HTTP call.
+type Call struct {
+	Path  string // with its query
+	Body  any    // nil: GET, which changes nothing
+	Reply any    // nil: the body of the reply is ignored
+	Wait  time.Duration
+}
+
+// dialError marks a call that found no connection, so that nothing was sent.
+type dialError struct{ cause error }
+
+// Error implements error.
+func (e *dialError) Error() string { return "dial: " + e.cause.Error() }
+
+// Unwrap returns the cause.
+func (e *dialError) Unwrap() error { return e.cause }
+
+// Do makes the call. A call that got no reply fails with ErrUnavailable when
+// it can't have been applied, or changes nothing, else with ErrUnknown.
+func (t *Transport) Do(ctx context.Context, cl Call) error {
+	if err := ctx.Err(); err != nil {
+		return fmt.Errorf("%w: %w", ErrUnavailable, err)
+	}
+	t.calls.Add(1)
+	deadline := time.Now().Add(t.timeout + cl.Wait)
+	if d, ok := ctx.Deadline(); ok && d.Before(deadline) {
+		deadline = d
+	}
+	type result struct {
+		status int
+		body   []byte
+		err    error
+	}
+	done := make(chan result, 1)
+	req, err := t.newRequest(cl)
+	if err != nil {
+		return err
+	}
+	go func() {
+		defer fasthttp.ReleaseRequest(req)
+		resp := fasthttp.AcquireResponse()
+		defer fasthttp.ReleaseResponse(resp)
+		err := t.host.DoDeadline(req, resp, deadline)
+		done <- result{resp.StatusCode(), append([]byte(nil), resp.Body()...), err}
+	}()
+	select {
+	case r := <-done:
+		if r.err != nil {
+			return noReply(cl, r.err)
+		}
+		return t.decode(cl, r.status, r.body)
+	case <-ctx.Done():
+		return noReply(cl, ctx.Err())
+	}
+}
+
+func (t *Transport) newRequest(cl Call) (*fasthttp.Request, error) {
+	req := fasthttp.AcquireRequest()
+	req.SetRequestURI("http://" + t.host.Addr + cl.Path)
+	if cl.Body == nil {
+		return req, nil
+	}
+	b, err := json.Marshal(cl.Body)
+	if err != nil {
+		fasthttp.ReleaseRequest(req)
+		return nil, eris.Wrap(err, "platform: encode request")
+	}
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.Header.SetContentType("application/json")
+	req.SetBody(b)
+	return req, nil
+}
+
+// noReply turns a failed exchange into ErrUnavailable or ErrUnknown.
+func noReply(cl Call, err error) error {
+	var dial *dialError
+	sent := !errors.As(err, &dial) && !errors.Is(err, fasthttp.ErrNoFreeConns)
+	if cl.Body != nil && sent {
+		return fmt.Errorf("%w: %s: %w", ErrUnknown, cl.Path, err)
+	}
+	return fmt.Errorf("%w: %w", ErrUnavailable, err)
+}
+
+func (t *Transport) decode(cl Call, status int, body []byte) error {
+	if status == fasthttp.StatusOK {
+		if cl.Reply == nil {
+			return nil
+		}
+		if err := json.Unmarshal(body, cl.Reply); err != nil {
+			return noReply(cl, err)
+		}
+		return nil
+	}
+	if err := t.errorOf(status, body); err != nil {
+		return err
+	}
+	return noReply(cl, fmt.Errorf("status %d: %.200s", status, body))
+}
--- a/internal/settings/fields.go
+++ b/internal/settings/fields.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/sapphirewall/sapphirewall/internal/inifile"
@@ -34,6 +35,13 @@
 	{"control", "heartbeat-interval", "500ms", "Time between two heartbeats to a peer.", duration(10*time.Millisecond, func(s *Settings) *time.Duration { return &s.Control.HeartbeatInterval })},
 	{"control", "relays", "2", "VMs of each availability zone that talk to the platform.", number(1, maxRelays, func(s *Settings) *int { return &s.Control.Relays })},
 
+	{"direct", "listen", "127.0.0.1:7030", "Address of sw-node for callers, IP:port.", addr(func(s *Settings) *string { return &s.Direct.Listen })},
+	{"direct", "ready", "127.0.0.1:7031", "Address of sw-node that the balancer asks for readiness, IP:port.", addr(func(s *Settings) *string { return &s.Direct.Ready })},
+	{"direct", "admin", "127.0.0.1:7032", "Address of /vars, /metrics, /live and /ready of sw-node, IP:port.", addr(func(s *Settings) *string { return &s.Direct.Admin })},
+	{"direct", "regions", "zone-1=region-1", "Region of each availability zone: zone=region, zone=region.", pairs(func(s *Settings) *map[string]string { return &s.Direct.Regions })},
+	{"direct", "retry-share", "20%", "Extra sends that all VMs may make to a pool, as a share of its requests.", share(func(s *Settings) *float64 { return &s.Direct.RetryShare })},
+	{"direct", "retry-slack", "50", "Extra sends that all VMs may make to a pool in a few seconds beside that share.", number(0, maxSlack, func(s *Settings) *int { return &s.Direct.RetrySlack })},
+
 	{"platform", "kv", "127.0.0.1:7100", "Address of the key-value service, IP:port.", addr(func(s *Settings) *string { return &s.Platform.KV })},
 	{"platform", "vms", "127.0.0.1:7101", "Address of the list of VMs, IP:port.", addr(func(s *Settings) *string { return &s.Platform.VMs })},
 	{"platform", "timeout", "1s", "Time after which a call counts as unanswered.", duration(time.Millisecond, func(s *Settings) *time.Duration { return &s.Platform.Timeout })},
@@ -83,6 +91,39 @@
 	}
 }
 
+// share reads a percentage, or a plain number of 0 to 1.
+func share(at func(*Settings) *float64) readFunc {
+	return func(r *inifile.Reader, key, def string, s *Settings) {
+		if v, ok := r.Lookup(key); ok {
+			if f, err := strconv.ParseFloat(v, 64); err == nil && f >= 0 && f <= 1 {
+				*at(s) = f
+				return
+			}
+		}
+		percent(at)(r, key, def, s)
+	}
+}
+
+// pairs reads "name=value, name=value".
+func pairs(at func(*Settings) *map[string]string) readFunc {
+	return func(r *inifile.Reader, key, def string, s *Settings) {
+		list := r.List(key)
+		if _, given := r.Lookup(key); !given {
+			list = strings.Split(def, ",")
+		}
+		out := map[string]string{}
+		for _, item := range list {
+			name, value, ok := strings.Cut(item, "=")
+			if !ok || name == "" || value == "" {
+				r.Fail(key, "bad item "+strconv.Quote(item), "write name=value, name=value")
+				return
+			}
+			out[strings.TrimSpace(name)] = strings.TrimSpace(value)
+		}
+		*at(s) = out
+	}
+}
+
 func percent(at func(*Settings) *float64) readFunc {
 	return func(r *inifile.Reader, key, def string, s *Settings) {
 		d, _ := strconv.ParseFloat(def[:len(def)-1], 64)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -18,6 +18,7 @@
 	Entry    Entry
 	Egress   Egress
 	Control  Control
+	Direct   Direct
 	Platform Platform
 	TLS      TLS
 	Log      Log
@@ -60,6 +61,18 @@
 	Relays            int // nodes of a zone that talk to the platform
 }
 
+// Direct configures sw-node.
+type Direct struct {
+	Listen  string            // callers' HTTP
+	Ready   string            // the balancer's question
+	Admin   string            // /vars, /metrics, /live and /ready
+	Regions map[string]string // availability zone to region, of all zones
+	// RetryShare and RetrySlack bound the extra sends of all VMs: a share of the
+	// requests and a number beside.
+	RetryShare float64
+	RetrySlack int
+}
+
 // Platform says where the platform's services are.
 type Platform struct {
 	KV      string // IP:port
@@ -94,6 +107,7 @@
 	maxBodySize = 7 << 20 // fits a frame between processes
 	maxQueries  = 1 << 20
 	maxRelays   = 16
+	maxSlack    = 1 << 20
 )
 
 // field is one key: its section, name, default as text, a comment for
--- /dev/null
+++ b/internal/storewatch/watch.go
@@ -0,0 +1,144 @@
+// Package storewatch keeps a process up to date with the keys of a prefix of the
+// platform's store: it reads them once and then watches, goes on where it was
+// after an outage, and reads them again when the store no longer knows what has
+// changed since.
+package storewatch
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/sapphirewall/sapphirewall/internal/decide/backoff"
+	"github.com/sapphirewall/sapphirewall/internal/platform"
+)
+
+// The times of a watch.
+const (
+	// wait is how long one watch call may wait for a change: long, since each
+	// call has its price, and keep-alive probes tell of a lost connection.
+	wait = 20 * time.Second
+	// settle is the pause after changes, in which others that come close to
+	// them gather for the next call. Changes are due in seconds.
+	settle = 150 * time.Millisecond
+)
+
+// pace bounds the calls while the store is away. A VM must see its return
+// within a fraction of the seconds in which changes are due.
+var pace = backoff.Config{Min: 50 * time.Millisecond, Max: 400 * time.Millisecond, Rate: 4, Burst: 4}
+
+// Handler takes what a Watch reads. Its methods are called one at a time.
+type Handler interface {
+	// Replace takes all entries of the prefix, as of a revision of the store
+	// or later.
+	Replace(entries []platform.Entry, revision uint64)
+	// Apply takes changes in order.
+	Apply(changes []platform.Entry)
+	// Away and Back tell that the store is lost, and regained.
+	Away(err error)
+	Back()
+}
+
+// Watch follows one prefix.
+type Watch struct {
+	store   platform.Watcher
+	prefix  string
+	handler Handler
+	log     zerolog.Logger
+	rng     *rand.Rand
+
+	revision uint64 // up to which all is known; 0: nothing yet
+	away     bool
+}
+
+// New returns the watch of a prefix.
+func New(store platform.Watcher, prefix string, h Handler, log zerolog.Logger) *Watch {
+	return &Watch{store: store, prefix: prefix, handler: h, log: log, rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
+}
+
+// Run follows the prefix until ctx ends.
+func (w *Watch) Run(ctx context.Context) {
+	pacer := backoff.New(pace, w.rng)
+	for ctx.Err() == nil {
+		changed, err := w.step(ctx)
+		now := time.Now()
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			w.lost(err)
+			pacer.Called(now)
+			pacer.Done(now, false)
+			sleep(ctx, pacer.Next(now).Sub(now))
+			continue
+		}
+		pacer.Done(now, true)
+		if changed {
+			sleep(ctx, settle)
+		}
+	}
+}
+
+// step makes one call; changed says that it brought something.
+func (w *Watch) step(ctx context.Context) (changed bool, err error) {
+	if w.revision == 0 {
+		return true, w.read(ctx)
+	}
+	patience := wait
+	if w.away {
+		patience = time.Millisecond // tells at once whether the store is back
+	}
+	c, err := w.store.Watch(ctx, w.prefix, w.revision, patience)
+	if errors.Is(err, platform.ErrCompacted) {
+		w.log.Info().Str("prefix", w.prefix).Uint64("revision", w.revision).Msg("the store has dropped the history since; reading all keys again")
+		return true, w.read(ctx)
+	}
+	if err != nil {
+		return false, err
+	}
+	w.regained()
+	if len(c.Entries) > 0 {
+		w.handler.Apply(c.Entries)
+	}
+	w.revision = max(w.revision, c.Revision)
+	return len(c.Entries) > 0, nil
+}
+
+func (w *Watch) read(ctx context.Context) error {
+	c, err := w.store.Snapshot(ctx, w.prefix)
+	if err != nil {
+		return err
+	}
+	w.regained()
+	w.handler.Replace(c.Entries, c.Revision)
+	w.revision = c.Revision
+	return nil
+}
+
+func (w *Watch) lost(err error) {
+	if w.away {
+		return
+	}
+	w.away = true
+	w.handler.Away(err)
+}
+
+func (w *Watch) regained() {
+	if !w.away {
+		return
+	}
+	w.away = false
+	w.handler.Back()
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- a/internal/tables/diff.go
+++ b/internal/tables/diff.go
@@ -106,6 +106,7 @@
 	set("partial", yesNo(r.Partial))
 	set("min-coverage", percent(r.MinCoverage))
 	set("urgent", yesNo(r.Urgent))
+	flattenDirect(set, r)
 }
 
 func flattenPool(out map[flatKey]string, p *Pool) {
@@ -116,6 +117,11 @@
 	set("connections", strconv.Itoa(p.Connections))
 	set("connect-cost", p.ConnectCost.String())
 	set("cold-slots", strconv.Itoa(p.ColdSlots))
+	if p.Discovered {
+		set("discovered", yesNo(p.Discovered))
+		set("cold-rate", strconv.Itoa(int(p.ColdRate)))
+		set("cold-time", p.ColdTime.String())
+	}
 	var leaving []string
 	for _, u := range p.Upstreams {
 		set(upstreamPrefix+u.ID, fmt.Sprintf("%s zone=%s shard=%d version=%s", u.Addr, u.Zone, u.Shard, u.Version))
--- a/internal/tables/sections.go
+++ b/internal/tables/sections.go
@@ -34,6 +34,9 @@
 		Connections: r.Int("connections", 1, 1, maxConnections),
 		ConnectCost: r.Duration("connect-cost", defaultConnectCost, 0, maxConnectCost),
 		ColdSlots:   r.Int("cold-slots", 1, 1, maxSlots),
+		Discovered:  r.Bool("discovered", false),
+		ColdRate:    float64(r.Int("cold-rate", 0, 0, maxSlots)),
+		ColdTime:    r.Duration("cold-time", 0, 0, MaxDeadline),
 	}
 	for _, key := range []string{"shards", "slots", "connections"} {
 		r.Required(key, "a whole number")
@@ -70,7 +73,7 @@
 	}
 	sort.Slice(pool.Upstreams, func(i, j int) bool { return pool.Upstreams[i].ID < pool.Upstreams[j].ID })
 	for shard := range pool.Shards {
-		if !covered[shard] {
+		if !covered[shard] && !pool.Discovered {
 			r.Fail("", fmt.Sprintf("shard %d has no upstream", shard), fmt.Sprintf("add %sID = %s", upstreamPrefix, upstreamForm))
 			return
 		}
@@ -195,12 +198,13 @@
 		merge = MergeFirst
 	}
 	isQuery := route.Kind == Query
-	route.Merge = Merge(r.OneOf("merge", string(merge), string(MergeConcat), string(MergeSum), string(MergeFirst)))
+	route.Merge = Merge(r.OneOf("merge", string(merge), string(MergeConcat), string(MergeSum), string(MergeFirst), string(MergeTop)))
 	route.Deadline = r.Duration("deadline", defaultDeadline, minDeadline, MaxDeadline)
 	route.Idempotent = r.Bool("idempotent", isQuery)
 	route.Partial = r.Bool("partial", isQuery)
 	route.MinCoverage = r.Percent("min-coverage", 0)
 	route.Urgent = r.Bool("urgent", false)
+	readDirect(r, route)
 	p.checkPools(r, route)
 	checkKind(r, route, p.tables.Pools)
 	r.Finish()
@@ -226,8 +230,8 @@
 // checkKind refuses what a route of its kind can't do.
 func checkKind(r *inifile.Reader, route *Route, pools map[string]*Pool) {
 	if route.Kind == Action {
-		if len(route.Pools) > 1 {
-			r.Fail("pools", "an action has one pool", "keep one pool")
+		if len(route.Pools) > 1 && len(route.Weights) == 0 {
+			r.Fail("pools", "an action has one pool", "keep one pool, or add weights")
 		}
 		if route.Merge != MergeFirst {
 			r.Fail("merge", "an action has one answer", "write merge = first or remove the key")
--- a/internal/tables/types.go
+++ b/internal/tables/types.go
@@ -14,6 +14,7 @@
 	Routes   map[string]*Route
 	Pools    map[string]*Pool
 	ZonesOut map[string]bool // availability zones that receive no new work
+	Limits   Limits          // of callers' connections; zero: the settings decide
 }
 
 // RouteKind tells queries from actions.
@@ -35,6 +36,7 @@
 	MergeConcat Merge = "concat" // a JSON array of the parts
 	MergeSum    Merge = "sum"    // the sum of the parts' numbers
 	MergeFirst  Merge = "first"  // the single part as it is
+	MergeTop    Merge = "top"    // the greatest records of the parts, see package topk
 )
 
 // Route is one "[route NAME]" section.
@@ -48,6 +50,23 @@
 	Partial     bool    // partial answers are allowed
 	MinCoverage float64 // share of shards below which the answer is a refusal
 	Urgent      bool    // admitted before other routes under overload
+
+	// Host and Prefix select the route of a request by its host and path, where
+	// requests don't name their route. Prefix begins and ends with a slash.
+	Host   string
+	Prefix string
+	// Objective is the latency within which an answer is worth most; 0: Deadline.
+	Objective time.Duration
+	// MaxAttempts is how many replicas may run one part; 0: the policy decides.
+	MaxAttempts int
+	// Priority ranks routes that compete for a pool; 0 is the most urgent.
+	Priority int
+	// Regions are the only ones in which a replica may run it; none: all.
+	Regions []string
+	// Weights make an action go to one of Pools, in these proportions; empty:
+	// the only pool.
+	Weights []float64
+	Top     int // records in the answer of MergeTop
 }
 
 // Pool is one "[pool NAME]" section.
@@ -60,6 +79,21 @@
 	ColdSlots   int           // concurrent requests that a cold replica bears
 	Upstreams   []Upstream    // ordered by ID
 	Rollout     *Rollout      // nil: no rollout
+
+	// Discovered pools have no upstreams here; they announce themselves.
+	Discovered bool
+	// ColdRate is the number of requests a second that a cold replica of a
+	// discovered pool bears from all VMs; 0: no bound.
+	ColdRate float64
+	ColdTime time.Duration // that a replica stays cold after its start
+}
+
+// Limits bound what a caller may send, and how long it may take or stay idle.
+type Limits struct {
+	HeaderBytes   int
+	BodyBytes     int
+	HeaderTimeout time.Duration // from the first byte of a request to its header's end
+	IdleTimeout   time.Duration // of a connection between two requests
 }
 
 // Upstream is one replica of one shard of a pool.
--- a/internal/telemetry/admin.go
+++ b/internal/telemetry/admin.go
@@ -16,7 +16,7 @@
 // AdminName is the kernel name of the admin service.
 const AdminName = "admin"
 
-// Admin serves GET /vars (expvar), /live and /ready. The platform's balancer
+// Admin serves GET /vars (expvar), /metrics (the same as text), /live and /ready. The platform's balancer
 // asks /ready.
 type Admin struct {
 	addr   string
@@ -60,6 +60,8 @@
 	switch string(ctx.Path()) {
 	case "/vars":
 		expvarhandler.ExpvarHandler(ctx)
+	case "/metrics":
+		WriteText(ctx)
 	case "/live":
 		ctx.SetBodyString("live\n")
 	case "/ready":
@@ -69,7 +71,7 @@
 		}
 		ctx.SetBodyString("ready\n")
 	default:
-		ctx.Error("not found: ask /vars, /live or /ready\n", fasthttp.StatusNotFound)
+		ctx.Error("not found: ask /vars, /metrics, /live or /ready\n", fasthttp.StatusNotFound)
 	}
 }
 
--- /dev/null
+++ b/internal/telemetry/async.go
@@ -0,0 +1,97 @@
+package telemetry
+
+import (
+	"fmt"
+	"io"
+	"sync"
+	"time"
+)
+
+// The bounds of an Async writer.
+const (
+	// asyncBytes is what may wait to be written: some seconds of lines at the
+	// budget of several kinds.
+	asyncBytes = 1 << 20
+	// asyncEvery is the time between two writes, so that lines that come close
+	// together share one.
+	asyncEvery = 50 * time.Millisecond
+)
+
+// Async writes lines to another writer from a goroutine of its own, so that a
+// reader that is slow or gone never blocks who logs. Lines that find no room
+// are left out and counted.
+type Async struct {
+	w io.Writer
+
+	mu      sync.Mutex // guards the fields below
+	pending []byte
+	omitted int
+	closed  bool
+
+	done chan struct{}
+	stop chan struct{}
+}
+
+// NewAsync returns a writer to w; Close flushes it.
+func NewAsync(w io.Writer) *Async {
+	a := &Async{w: w, done: make(chan struct{}), stop: make(chan struct{})}
+	go a.run()
+	return a
+}
+
+// Write implements io.Writer; it never fails.
+func (a *Async) Write(p []byte) (int, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.closed || len(a.pending)+len(p) > asyncBytes {
+		a.omitted++
+		return len(p), nil
+	}
+	a.pending = append(a.pending, p...)
+	return len(p), nil
+}
+
+// Close writes what is pending, and takes nothing more.
+func (a *Async) Close() {
+	a.mu.Lock()
+	if a.closed {
+		a.mu.Unlock()
+		return
+	}
+	a.closed = true
+	a.mu.Unlock()
+	close(a.stop)
+	<-a.done
+}
+
+func (a *Async) run() {
+	defer close(a.done)
+	tick := time.NewTicker(asyncEvery)
+	defer tick.Stop()
+	var buf []byte
+	for {
+		select {
+		case <-tick.C:
+			buf = a.flush(buf)
+		case <-a.stop:
+			a.flush(buf)
+			return
+		}
+	}
+}
+
+// flush writes what is pending and returns a buffer to be used again.
+func (a *Async) flush(buf []byte) []byte {
+	a.mu.Lock()
+	out, omitted := a.pending, a.omitted
+	a.pending, a.omitted = buf[:0], 0
+	a.mu.Unlock()
+	if omitted > 0 {
+		out = fmt.Appendf(out, "{\"level\":\"warn\",\"kind\":\"log\",\"omitted\":%d,\"message\":\"lines left out: the log's reader is slow\"}\n", omitted)
+	}
+	if len(out) > 0 {
+		// There is nowhere to report that the log itself can't be written.
+		_, _ = a.w.Write(out)
+	}
+	return out
+}
--- a/internal/verdict/http.go
+++ b/internal/verdict/http.go
@@ -51,6 +51,21 @@
 	return http.StatusServiceUnavailable
 }
 
+// HTTPStatus returns the status of the refusal. Some statuses promise that the
+// request did not run and others promise nothing, so it follows the outcome
+// first and the cause second.
+func (e *Error) HTTPStatus() int {
+	status := e.Cause.Status()
+	promises := status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
+	switch {
+	case e.Outcome == NotRun && status >= http.StatusInternalServerError:
+		return http.StatusServiceUnavailable
+	case e.Outcome != NotRun && promises:
+		return http.StatusBadGateway
+	}
+	return status
+}
+
 // Problem returns the problem document for e.
 func (e *Error) Problem(requestID, traceID string) Problem {
 	title := "The request can't be served now"
@@ -60,7 +75,7 @@
 	return Problem{
 		Type:         "about:blank",
 		Title:        title,
-		Status:       e.Cause.Status(),
+		Status:       e.HTTPStatus(),
 		Detail:       e.Detail,
 		Verdict:      e.Outcome.String(),
 		Cause:        string(e.Cause),
