Bound extra sends by a sliding window; wait for connections at shutdown

Change: extra sends are bounded per 10 s window, as the platform bounds them. Shutdown now waits for connections.

--- a/internal/decide/retry/shared.go
+++ b/internal/decide/retry/shared.go
@@ -1,41 +1,67 @@
 package retry
 
-// Shared bounds the extra sends of one pool by a share of this VM's first sends
-// and a small burst. The shares and bursts of all VMs add up to the bound of
-// the fleet, whichever VMs vanish or can't see each other. It is not safe for
-// concurrent use.
-type Shared struct {
-	share  float64
-	burst  float64
-	tokens float64
-}
+import "time"
 
-// hedgeReserve is what hedges leave for retries: a part that has failed can be
-// had in no other way, a late one may still come.
-const hedgeReserve = 1
+// The constants of a shared budget.
+const (
+	// Window is the time over which extra sends are compared with first ones.
+	Window = 10 * time.Second
+	// slots is the number of steps in which the window slides.
+	slots = 20
+	// hedgeReserve is what hedges leave for retries: a part that has failed can
+	// be had in no other way, a late one may still come.
+	hedgeReserve = 2
+)
 
-// NewShared returns a full budget. share is the number of extra sends that a
-// first send allows, burst the number that can be saved up.
-func NewShared(share, burst float64) *Shared {
-	return &Shared{share: share, burst: burst, tokens: burst}
+// Shared bounds the extra sends of one pool in each window by a share of this
+// VM's first sends in it and a part of the fleet's slack. The shares and slacks
+// of all VMs add up to the bound of the fleet, whichever VMs vanish or can't see
+// each other. It is not safe for concurrent use.
+type Shared struct {
+	share float64
+	slack float64
+	first [slots]int
+	extra [slots]int
+	sums  [2]int // of first and extra
+	step  int64  // the newest slot's number
 }
 
+// NewShared returns a budget. share is the number of extra sends that a first
+// send allows, slack the number allowed beside in each window.
+func NewShared(share, slack float64) *Shared { return &Shared{share: share, slack: slack} }
+
 // Fresh counts a first send.
-func (s *Shared) Fresh() { s.tokens = min(s.burst, s.tokens+s.share) }
+func (s *Shared) Fresh(now time.Time) {
+	s.slide(now)
+	s.first[s.step%slots]++
+	s.sums[0]++
+}
 
 // TakeRetry takes one extra send for a part that has failed.
-func (s *Shared) TakeRetry() bool { return s.take(1) }
+func (s *Shared) TakeRetry(now time.Time) bool { return s.take(now, 1) }
 
 // TakeHedge takes one extra send for a part that is late.
-func (s *Shared) TakeHedge() bool { return s.take(1 + hedgeReserve) }
+func (s *Shared) TakeHedge(now time.Time) bool { return s.take(now, 1+hedgeReserve) }
 
-// Return gives back an extra send that did not reach a replica.
-func (s *Shared) Return() { s.tokens = min(s.burst, s.tokens+1) }
-
-func (s *Shared) take(least float64) bool {
-	if s.tokens < least {
+func (s *Shared) take(now time.Time, least float64) bool {
+	s.slide(now)
+	if float64(s.sums[1])+least > s.share*float64(s.sums[0])+s.slack {
 		return false
 	}
-	s.tokens--
+	s.extra[s.step%slots]++
+	s.sums[1]++
 	return true
 }
+
+// slide forgets what is older than the window.
+func (s *Shared) slide(now time.Time) {
+	step := now.UnixNano() / int64(Window/slots)
+	for n := min(step-s.step, slots); n > 0; n-- {
+		s.step++
+		i := s.step % slots
+		s.sums[0] -= s.first[i]
+		s.sums[1] -= s.extra[i]
+		s.first[i], s.extra[i] = 0, 0
+	}
+	s.step = max(s.step, step)
+}
--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -31,7 +31,7 @@
 	s := c.s
 	p := s.poolOf(c.pools[send.Part])
 	r := c.choose(now, p, send.Part)
-	if r == nil || !affordable(p, send.Extra) {
+	if r == nil || !affordable(now, p, send.Extra) {
 		c.machine.Unsendable(send)
 		s.metrics.add("unsent_"+send.Extra.String(), 1)
 		s.log.Info("unsent").Str("id", c.req.ID).Str("pool", c.pools[send.Part]).Stringer("extra", send.Extra).
@@ -54,14 +54,14 @@
 }
 
 // affordable draws on the pool's budget of extra sends.
-func affordable(p *pool, e gather.Extra) bool {
+func affordable(now time.Time, p *pool, e gather.Extra) bool {
 	switch e {
 	case gather.Retry:
-		return p.extra.TakeRetry()
+		return p.extra.TakeRetry(now)
 	case gather.Hedge:
-		return p.extra.TakeHedge()
+		return p.extra.TakeHedge(now)
 	}
-	p.extra.Fresh()
+	p.extra.Fresh(now)
 	return true
 }
 
--- a/internal/direct/beliefs.go
+++ b/internal/direct/beliefs.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-
 	"github.com/sapphirewall/sapphirewall/internal/decide/discovery"
 	"github.com/sapphirewall/sapphirewall/internal/decide/placement"
 	"github.com/sapphirewall/sapphirewall/internal/decide/quantile"
@@ -176,7 +175,7 @@
 	if r == nil {
 		r = &replica{
 			evidence: placement.NewReplica(b.Slots),
-			peer:     link.NewPeer(b.ID, b.Addr, s.connectionLimit(b.Pool), s.opts.Codec, s.opts.Dial, s.metrics.connectionOpened),
+			peer:     link.NewPeer(b.ID, b.Addr, s.connectionLimit(b.Pool), s.opts.Codec, s.opts.Dial, s.metrics.count),
 			distance: s.distance(b.Zone),
 		}
 		s.replicas[b.ID] = r
@@ -238,4 +237,3 @@
 	}
 	return placement.OtherRegion
 }
-
--- a/internal/direct/metrics.go
+++ b/internal/direct/metrics.go
@@ -26,7 +26,7 @@
 	m.counters.Set(name, v)
 }
 
-func (m metrics) connectionOpened() { m.add("connections_opened", 1) }
+func (m metrics) count(name string) { m.add(name, 1) }
 
 // latencyBounds are the upper bounds of the histograms' buckets.
 var latencyBounds = []struct {
--- a/internal/direct/options.go
+++ b/internal/direct/options.go
@@ -24,8 +24,8 @@
 	// shareUsed and slackUsed are the parts of the fleet's bound on extra sends
 	// that are used. The rest covers windows that cut a burst in two and
 	// requests that never arrived.
-	shareUsed = 0.8
-	slackUsed = 0.5
+	shareUsed = 0.85
+	slackUsed = 0.8
 	// answerMargin is how long before the objective an answer without all parts
 	// goes out: the way to the caller, merging and late timers.
 	answerMargin = 12 * time.Millisecond
@@ -51,6 +51,9 @@
 	lateGrace = 1500 * time.Millisecond
 	// sweepEvery is the time between two looks at overdue flights.
 	sweepEvery = 50 * time.Millisecond
+	// reportEvery is the time between two lines with all counters, for whoever
+	// has only the logs.
+	reportEvery = 30 * time.Second
 	// fleetGuess is the number of VMs that share a replica's connections while
 	// nothing is known of the fleet.
 	fleetGuess = 10
--- a/internal/direct/service.go
+++ b/internal/direct/service.go
@@ -84,6 +84,7 @@
 func (s *Service) Stop(context.Context) error {
 	s.stop()
 	<-s.done
+	s.report("counters at the stop")
 	s.log.Flush()
 	return nil
 }
@@ -106,6 +107,8 @@
 	defer close(s.done)
 	tick := time.NewTicker(sweepEvery)
 	defer tick.Stop()
+	reports := time.NewTicker(reportEvery)
+	defer reports.Stop()
 	refresh := time.NewTimer(time.Hour)
 	defer refresh.Stop()
 	for {
@@ -116,6 +119,9 @@
 			s.sweep(now)
 			s.log.Tick(now)
 			continue
+		case <-reports.C:
+			s.report("counters so far")
+			continue
 		case <-s.wake:
 		case <-refresh.C:
 		}
@@ -125,6 +131,11 @@
 	}
 }
 
+// report logs all counters.
+func (s *Service) report(why string) {
+	s.log.Info("counters").RawJSON("counters", []byte(s.metrics.counters.String())).Msg(why)
+}
+
 func (s *Service) sweep(now time.Time) {
 	s.mu.Lock()
 	peers := make([]*replica, 0, len(s.replicas))
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -108,6 +108,9 @@
 		c := newConn(s, nc)
 		s.mu.Lock()
 		s.conns[c] = struct{}{}
+		if s.down {
+			c.stopReading()
+		}
 		s.mu.Unlock()
 		go c.read()
 		go c.answer()
@@ -117,8 +120,10 @@
 // Drain makes every answer ask its caller to close the connection.
 func (s *Server) Drain() { s.draining.Store(true) }
 
-// Shutdown stops accepting, closes idle connections, and waits until all
-// requests in hand are answered or ctx ends.
+// Shutdown stops accepting, closes idle connections, and waits until the other
+// ones have had their answers or ctx ends. It waits for connections and not for
+// requests in hand, since a request that has just been read is in nobody's count
+// yet.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.Drain()
 	s.mu.Lock()
@@ -130,16 +135,22 @@
 		c.stopReading()
 	}
 	s.mu.Unlock()
-	for s.active.Load() > 0 {
+	for s.open() > 0 {
 		select {
 		case <-ctx.Done():
-			return eris.Wrapf(ctx.Err(), "%d requests in hand", s.active.Load())
+			return eris.Wrapf(ctx.Err(), "%d connections open, %d requests in hand", s.open(), s.active.Load())
 		case <-time.After(pollActive):
 		}
 	}
 	return nil
 }
 
+func (s *Server) open() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
 func (s *Server) forget(c *conn) {
 	s.mu.Lock()
 	delete(s.conns, c)
--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -135,6 +135,7 @@
 	p.mu.Unlock()
 	if over {
 		_ = c.nc.Close()
+		p.count("connections_closed_with_answer")
 	}
 	f.end(reply, nil)
 	if next != nil {
@@ -172,6 +173,7 @@
 	p.dialMore()
 	p.mu.Unlock()
 	_ = c.nc.Close()
+	p.count("connections_closed_" + string(err.Cause))
 	if f != nil {
 		f.end(nil, err)
 	}
--- a/internal/link/flight.go
+++ b/internal/link/flight.go
@@ -36,12 +36,12 @@
 	// Misdirected says that another replica answers at this address; NotRun
 	// holds too.
 	Misdirected bool
-	Load      Load
-	HasLoad   bool
-	Header    []Header // to be passed on
-	Body      []byte
-	Close     bool          // the connection ends with this answer
-	KeepAlive time.Duration // idle time after which the replica closes; 0: unknown
+	Load        Load
+	HasLoad     bool
+	Header      []Header // to be passed on
+	Body        []byte
+	Close       bool          // the connection ends with this answer
+	KeepAlive   time.Duration // idle time after which the replica closes; 0: unknown
 }
 
 // OK reports whether the reply is a replica's success.
--- a/internal/link/peer.go
+++ b/internal/link/peer.go
@@ -29,6 +29,9 @@
 	maxDials = 2
 )
 
+// closedIdle is the cause of the end of an idle connection that nobody waits for.
+const closedIdle verdict.Cause = "idle"
+
 // DialFunc opens a connection; tests replace it.
 type DialFunc func(ctx context.Context, addr string) (net.Conn, error)
 
@@ -47,7 +50,7 @@
 	id, addr string
 	codec    Codec
 	dial     DialFunc
-	opened   func() // counts a new connection
+	count    func(what string) // counts connections by what became of them
 
 	mu      sync.Mutex
 	limit   int
@@ -58,10 +61,10 @@
 	closed  bool
 }
 
-// NewPeer returns the connections to the replica of an ID at an address. opened
-// is called for each connection that has been opened.
-func NewPeer(id, addr string, limit int, codec Codec, dial DialFunc, opened func()) *Peer {
-	return &Peer{id: id, addr: addr, limit: limit, codec: codec, dial: dial, opened: opened, conns: map[*conn]struct{}{}}
+// NewPeer returns the connections to the replica of an ID at an address. count
+// is called with a word for each connection that is opened or closed.
+func NewPeer(id, addr string, limit int, codec Codec, dial DialFunc, count func(what string)) *Peer {
+	return &Peer{id: id, addr: addr, limit: limit, codec: codec, dial: dial, count: count, conns: map[*conn]struct{}{}}
 }
 
 // Limit sets how many connections may be open at once, at least 1.
@@ -118,7 +121,7 @@
 // flight is overdue or was withdrawn.
 func (p *Peer) Sweep(now time.Time) {
 	p.mu.Lock()
-	var cut []*conn
+	var cut, idle []*conn
 	for c := range p.conns {
 		if f := c.flight; f != nil && (now.After(f.Deadline.Add(overdue)) || !f.cutAt.IsZero() && now.After(f.cutAt)) {
 			cut = append(cut, c)
@@ -127,7 +130,7 @@
 	kept := p.idle[:0]
 	for _, c := range p.idle {
 		if now.Sub(c.idleSince) > c.idleFor {
-			cut = append(cut, c)
+			idle = append(idle, c)
 			continue
 		}
 		kept = append(kept, c)
@@ -148,6 +151,9 @@
 	for _, c := range cut {
 		c.close(verdict.ConnectionSilent, "no answer in time")
 	}
+	for _, c := range idle {
+		c.close(closedIdle, "idle")
+	}
 	for _, f := range late {
 		f.end(nil, verdict.New(verdict.NotRun, verdict.Deadline, "no connection in time"))
 	}
@@ -250,7 +256,7 @@
 		c.rest(time.Now())
 	}
 	p.mu.Unlock()
-	p.opened()
+	p.count("connections_opened")
 	go c.read()
 	if f != nil {
 		c.write(f)
