End first attempts of a query at its objective; learn failures, try slow replicas

Ruled out: processor (0.025 cores a VM), connections (no wait for one logged). Change: the first send of a part carries the time until the answer goes out, so a queue drops what is useless; placement learns the share of failures of a replica; a slow replica is tried by one request at a time; an extra send that reached no replica is given back to the budget.

--- a/internal/decide/placement/choose.go
+++ b/internal/decide/placement/choose.go
@@ -25,6 +25,11 @@
 	// silenceFactor is how long a silence is expected to go on, as a multiple
 	// of its age.
 	silenceFactor = 2
+	// failureCost is what a failed attempt costs: the time until it has failed,
+	// another attempt, and a part of the budget for extra sends.
+	failureCost = 150 * time.Millisecond
+	// maxFailing bounds the learned share of failures that counts.
+	maxFailing = 0.9
 	// restingCost and leavingCost put replicas behind all others.
 	restingCost = 2 * time.Second
 	leavingCost = 10 * time.Second
@@ -66,6 +71,9 @@
 	if silence := r.Silence(now); silence > silentAfter*run {
 		cost += silenceFactor * silence
 	}
+	if p := min(r.failingNow(now), maxFailing); p > 0 {
+		cost += time.Duration(p / (1 - p) * float64(failureCost))
+	}
 	switch c.Distance {
 	case SameRegion:
 		cost += zoneCost
--- a/internal/decide/placement/replica.go
+++ b/internal/decide/placement/replica.go
@@ -12,9 +12,20 @@
 	speedWeight = 0.15
 	// maxRatio bounds what one latency counts, as a multiple of the usual.
 	maxRatio = 30
-	// speedHalfLife is the time in which half of a learned slowness is
-	// forgotten without new answers, so that a replica is tried again.
-	speedHalfLife = 2 * time.Second
+	// slowRatio is the learned speed from which a replica counts as slow: beyond
+	// what distance and a passing queue explain.
+	slowRatio = 2.5
+	// slowWeight is the weight of one latency of a slow replica: it is asked
+	// seldom, so each answer has to tell more.
+	slowWeight = 0.4
+	// trialEvery is the time between two requests that try a slow replica. Each
+	// is likely to need a hedge, and a replica that is well again waits so long.
+	trialEvery = 1500 * time.Millisecond
+	// failureWeight is the weight of one attempt in the learned share of
+	// failures, and failureHalfLife the time in which half of that share is
+	// forgotten without attempts.
+	failureWeight   = 0.1
+	failureHalfLife = 3 * time.Second
 	// loadHalfLife is the age at which a told load counts half: a few runs.
 	loadHalfLife = 50 * time.Millisecond
 	// firstPause and longestPause bound how long a replica is left alone after
@@ -32,8 +43,10 @@
 	sent     []time.Time // of the attempts without an answer, oldest first
 	answered time.Time   // last answer
 	speed    float64     // latency over the usual, smoothed
-	speedAt  time.Time
-	waiting  int // told load beyond this VM's own share
+	trialAt  time.Time   // when a slow replica may be tried again
+	failing  float64     // share of attempts that fail or are rejected, smoothed
+	failedAt time.Time   // of failing
+	waiting  int         // told load beyond this VM's own share
 	running  int
 	loadAt   time.Time
 	failures int // in a row
@@ -50,7 +63,12 @@
 }
 
 // Sent takes an attempt that begins now.
-func (r *Replica) Sent(now time.Time) { r.sent = append(r.sent, now) }
+func (r *Replica) Sent(now time.Time) {
+	if r.speed > slowRatio {
+		r.trialAt = now.Add(trialEvery)
+	}
+	r.sent = append(r.sent, now)
+}
 
 // Answered takes the end of an attempt by a whole answer. usual is the typical
 // latency of such requests, 0 if unknown.
@@ -58,20 +76,12 @@
 	r.drop(sentAt)
 	r.answered = now
 	r.failures = 0
+	r.learnFailure(now, 0)
 	if usual > 0 {
 		r.learn(now, float64(now.Sub(sentAt))/float64(usual))
 	}
 }
 
-// GaveUp takes an attempt that is not waited for any more: its latency is at
-// least what has passed.
-func (r *Replica) GaveUp(now, sentAt time.Time, usual time.Duration) {
-	r.drop(sentAt)
-	if ratio := float64(now.Sub(sentAt)) / float64(usual); usual > 0 && ratio > r.speedNow(now) {
-		r.learn(now, ratio)
-	}
-}
-
 // Withdrawn takes an attempt that ended without telling anything.
 func (r *Replica) Withdrawn(sentAt time.Time) { r.drop(sentAt) }
 
@@ -79,6 +89,7 @@
 // to it. The replica is left alone for a time that grows.
 func (r *Replica) Failed(now, sentAt time.Time) {
 	r.drop(sentAt)
+	r.learnFailure(now, 1)
 	if now.Before(r.until) {
 		return // attempts that were in flight together fail together
 	}
@@ -86,9 +97,11 @@
 	r.until = now.Add(min(firstPause<<min(r.failures-1, 10), longestPause))
 }
 
-// Shed takes a refusal for want of room: the replica is full and well.
+// Shed takes a rejection: the replica has no room, or says so of a share of all
+// requests whatever its load.
 func (r *Replica) Shed(now, sentAt time.Time) {
 	r.drop(sentAt)
+	r.learnFailure(now, 1)
 	r.answered = now
 	r.running, r.waiting, r.loadAt = r.slots, r.slots, now
 }
@@ -123,19 +136,42 @@
 	return r.failures > 0 && (now.Before(r.until) || len(r.sent) > 0)
 }
 
+// learn takes one latency as a multiple of the usual one.
 func (r *Replica) learn(now time.Time, ratio float64) {
-	speed := r.speedNow(now)
-	r.speed = speed + speedWeight*(min(ratio, maxRatio)-speed)
-	r.speedAt = now
+	weight := speedWeight
+	if r.speed > slowRatio {
+		weight = slowWeight
+	}
+	r.speed += weight * (min(ratio, maxRatio) - r.speed)
+	if r.speed > slowRatio && r.trialAt.IsZero() {
+		r.trialAt = now.Add(trialEvery)
+	}
+	if r.speed <= slowRatio {
+		r.trialAt = time.Time{}
+	}
 }
 
-// speedNow is the learned speed, of which a slowness fades without answers.
+// speedNow is the learned speed; that of a slow replica whose trial is due is
+// taken for usual, for one request.
 func (r *Replica) speedNow(now time.Time) float64 {
-	if r.speed <= 1 {
-		return r.speed
+	if r.speed > slowRatio && len(r.sent) == 0 && !now.Before(r.trialAt) {
+		return 1
+	}
+	return r.speed
+}
+
+func (r *Replica) learnFailure(now time.Time, failed float64) {
+	share := r.failingNow(now)
+	r.failing = share + failureWeight*(failed-share)
+	r.failedAt = now
+}
+
+// failingNow is the learned share of failures, which fades without attempts.
+func (r *Replica) failingNow(now time.Time) float64 {
+	if r.failing == 0 {
+		return 0
 	}
-	age := now.Sub(r.speedAt).Seconds() / speedHalfLife.Seconds()
-	return 1 + (r.speed-1)*math.Exp2(-age)
+	return r.failing * math.Exp2(-now.Sub(r.failedAt).Seconds()/failureHalfLife.Seconds())
 }
 
 func (r *Replica) drop(sentAt time.Time) {
--- a/internal/decide/retry/shared.go
+++ b/internal/decide/retry/shared.go
@@ -43,6 +43,17 @@
 // TakeHedge takes one extra send for a part that is late.
 func (s *Shared) TakeHedge(now time.Time) bool { return s.take(now, 1+hedgeReserve) }
 
+// Return gives back an extra send that did not reach its replica. One that has
+// left the window is forgotten already.
+func (s *Shared) Return(now, sentAt time.Time) {
+	s.slide(now)
+	step := sentAt.UnixNano() / int64(Window/slots)
+	if s.step-step < slots && s.extra[step%slots] > 0 {
+		s.extra[step%slots]--
+		s.sums[1]--
+	}
+}
+
 func (s *Shared) take(now time.Time, least float64) bool {
 	s.slide(now)
 	if float64(s.sums[1])+least > s.share*float64(s.sums[0])+s.slack {
--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -39,7 +39,7 @@
 		return nil
 	}
 	a := &attempt{call: c, part: send.Part, extra: send.Extra, replica: r}
-	a.flight = link.Flight{Request: &c.req.Request, Deadline: c.deadline, SentAt: now, Idempotent: c.route.Idempotent, Done: func(*link.Flight) { a.done() }}
+	a.flight = link.Flight{Request: &c.req.Request, Deadline: c.flightDeadline(send.Extra), SentAt: now, Idempotent: c.route.Idempotent, Done: func(*link.Flight) { a.done() }}
 	r.evidence.Sent(now)
 	c.machine.Sent(now, send.Part)
 	c.tried[send.Part] = append(c.tried[send.Part], r.belief.ID)
@@ -53,6 +53,20 @@
 	return a
 }
 
+// flightDeadline is when a replica may stop working on an attempt. The answer to
+// a query goes out at its objective without the parts that are late, so the
+// first sends are worth nothing after it: a replica with a queue then drops
+// those in time for fresh ones, instead of running what nobody waits for. What
+// is sent again, also when the objective was missed, has all the time left.
+func (c *call) flightDeadline(e gather.Extra) time.Time {
+	if c.route.Kind == tables.Query && e == gather.First {
+		if useful := c.answerBy.Add(uselessAfter); useful.Before(c.deadline) {
+			return useful
+		}
+	}
+	return c.deadline
+}
+
 // affordable draws on the pool's budget of extra sends.
 func affordable(now time.Time, p *pool, e gather.Extra) bool {
 	switch e {
@@ -100,7 +114,12 @@
 	defer s.mu.Unlock()
 	ev := a.replica.evidence
 	took := now.Sub(f.SentAt)
+	expired := f.Reply != nil && f.Reply.Status >= 500 && !now.Before(f.Deadline.Add(-expirySlack))
 	switch {
+	case expired:
+		ev.Answered(now, f.SentAt, a.call.usual)
+		a.call.stats.late.Observe(took)
+		s.metrics.add("attempt_expired", 1)
 	case f.Reply != nil && f.Reply.Misdirected:
 		ev.Failed(now, f.SentAt)
 		s.metrics.add("attempt_misdirected", 1)
@@ -121,6 +140,9 @@
 		ev.Failed(now, f.SentAt)
 		s.metrics.add("attempt_"+string(f.Err.Cause), 1)
 	}
+	if a.extra != gather.First && f.Reply == nil && f.Err.Outcome == verdict.NotRun {
+		s.poolOf(a.replica.belief.Pool).extra.Return(now, f.SentAt)
+	}
 	if f.Reply != nil && f.Reply.HasLoad {
 		l := f.Reply.Load
 		ev.Loaded(now, l.Running, l.Waiting, l.Slots)
--- a/internal/direct/options.go
+++ b/internal/direct/options.go
@@ -29,6 +29,12 @@
 	// answerMargin is how long before the objective an answer without all parts
 	// goes out: the way to the caller, merging and late timers.
 	answerMargin = 12 * time.Millisecond
+	// uselessAfter is how long after the time of the answer a first attempt
+	// ends, so that none is sent again just before the answer goes out.
+	uselessAfter = 10 * time.Millisecond
+	// expirySlack is how much before its deadline a replica may give an attempt
+	// up for its time: clocks and the way.
+	expirySlack = 30 * time.Millisecond
 	// budgetMargin is how long before the caller leaves it gets its last word.
 	budgetMargin = 25 * time.Millisecond
 	// leastBudget is the time without which no replica can answer.
--- a/internal/direct/serve.go
+++ b/internal/direct/serve.go
@@ -32,6 +32,7 @@
 	machine *gather.Machine
 
 	deadline    time.Time
+	answerBy    time.Time // just before the objective
 	fingerprint uint64
 	results     chan *attempt
 	parts       []*link.Reply // by part; nil: not in
@@ -154,9 +155,10 @@
 	if late, ok := c.stats.late.Value(); ok {
 		hedgeAfter = min(hedgeAfter, time.Duration(hedgeStretch*float64(late)))
 	}
+	c.answerBy = c.req.Arrived.Add(objective - answerMargin)
 	c.machine = gather.New(gather.Config{
 		Parts: n, Need: c.need(), Attempts: attempts, Idempotent: c.route.Idempotent,
-		AnswerBy: c.req.Arrived.Add(objective - answerMargin), Deadline: c.deadline, HedgeAfter: hedgeAfter,
+		AnswerBy: c.answerBy, Deadline: c.deadline, HedgeAfter: hedgeAfter,
 	})
 	c.results = make(chan *attempt, n*(attempts+maxResends))
 	c.parts = make([]*link.Reply, n)
--- a/internal/link/peer.go
+++ b/internal/link/peer.go
@@ -20,8 +20,9 @@
 	// idleMargin is how much sooner than the replica an idle connection is
 	// closed, so that no request crosses its end.
 	idleMargin = 700 * time.Millisecond
-	// overdue is how long after its deadline a flight is given up.
-	overdue = 200 * time.Millisecond
+	// overdue is how long after its deadline a flight is given up: the replica
+	// says then itself that its time is over, unless it pauses.
+	overdue = 400 * time.Millisecond
 	// largeRequest is the size of a request in bytes from which it is written
 	// by a goroutine of its own: smaller ones fit the socket's buffer.
 	largeRequest = 16 << 10
