Find a replica well again within half a second after a pause

Ruled out: capping what one latency counts (rush, with a short usual time, would then stay at a slow replica: 45 ms against 50 elsewhere). Change: the time between trials begins at 200 ms, doubles while trials are slow, and begins anew with a fast one.

--- a/internal/decide/placement/replica.go
+++ b/internal/decide/placement/replica.go
@@ -18,9 +18,11 @@
 	// slowWeight is the weight of one latency of a slow replica: it is asked
 	// seldom, so each answer has to tell more.
 	slowWeight = 0.4
-	// trialEvery is the time between two requests that try a slow replica. Each
-	// is likely to need a hedge, and a replica that is well again waits so long.
-	trialEvery = 1500 * time.Millisecond
+	// firstTrial and longestTrial bound the time between two requests that try a
+	// slow replica: one that only paused is found well soon, and each request to
+	// one that stays slow is likely to need a hedge.
+	firstTrial   = 200 * time.Millisecond
+	longestTrial = 1500 * time.Millisecond
 	// failureWeight is the weight of one attempt in the learned share of
 	// failures, and failureHalfLife the time in which half of that share is
 	// forgotten without attempts.
@@ -44,9 +46,10 @@
 	answered time.Time   // last answer
 	speed    float64     // latency over the usual, smoothed
 	trialAt  time.Time   // when a slow replica may be tried again
-	failing  float64     // share of attempts that fail or are rejected, smoothed
-	failedAt time.Time   // of failing
-	waiting  int         // told load beyond this VM's own share
+	trialGap time.Duration
+	failing  float64   // share of attempts that fail or are rejected, smoothed
+	failedAt time.Time // of failing
+	waiting  int       // told load beyond this VM's own share
 	running  int
 	loadAt   time.Time
 	failures int // in a row
@@ -59,13 +62,13 @@
 	if slots <= 0 {
 		slots = defaultSlots
 	}
-	return &Replica{slots: slots, speed: 1}
+	return &Replica{slots: slots, speed: 1, trialGap: firstTrial}
 }
 
 // Sent takes an attempt that begins now.
 func (r *Replica) Sent(now time.Time) {
 	if r.speed > slowRatio {
-		r.trialAt = now.Add(trialEvery)
+		r.trialAt = now.Add(r.trialGap)
 	}
 	r.sent = append(r.sent, now)
 }
@@ -138,16 +141,22 @@
 
 // learn takes one latency as a multiple of the usual one.
 func (r *Replica) learn(now time.Time, ratio float64) {
+	slow := r.speed > slowRatio
 	weight := speedWeight
-	if r.speed > slowRatio {
+	if slow {
 		weight = slowWeight
 	}
 	r.speed += weight * (min(ratio, maxRatio) - r.speed)
-	if r.speed > slowRatio && r.trialAt.IsZero() {
-		r.trialAt = now.Add(trialEvery)
-	}
-	if r.speed <= slowRatio {
-		r.trialAt = time.Time{}
+	switch {
+	case r.speed <= slowRatio:
+		r.trialAt, r.trialGap = time.Time{}, firstTrial
+	case !slow:
+		r.trialAt = now.Add(r.trialGap)
+	case ratio > slowRatio:
+		r.trialGap = min(2*r.trialGap, longestTrial)
+	default:
+		r.trialGap = firstTrial
+		r.trialAt = now.Add(firstTrial)
 	}
 }
 
