--- /dev/null
+++ b/internal/front/front_test.go
@@ -0,0 +1,157 @@
+package front_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/valyala/fasthttp"
+
+	"github.com/sapphirewall/sapphirewall/internal/front"
+)
+
+func TestFront(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "front")
+}
+
+func serve(h front.Handler) *front.Server {
+	s := front.New(h)
+	Expect(s.Listen("127.0.0.1:0")).To(Succeed())
+	return s
+}
+
+func dial(s *front.Server) net.Conn {
+	c, err := net.Dial("tcp", s.Addr())
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(func() { _ = c.Close() })
+	Expect(c.SetDeadline(time.Now().Add(10 * time.Second))).To(Succeed())
+	return c
+}
+
+func echo(x *front.Exchange) { x.Response.SetBody(x.Request.Body()) }
+
+// ask sends text and reads one answer.
+func ask(c net.Conn, text string) (status int, body string, closes bool) {
+	_, err := io.WriteString(c, text)
+	Expect(err).NotTo(HaveOccurred())
+	var resp fasthttp.Response
+	Expect(resp.Read(bufio.NewReader(c))).To(Succeed())
+	return resp.StatusCode(), string(resp.Body()), resp.ConnectionClose()
+}
+
+const post = "POST /x HTTP/1.1\r\nHost: h\r\n"
+
+var _ = DescribeTable("a request", func(text string, status int, body string) {
+	s := serve(echo)
+	DeferCleanup(func() { _ = s.Shutdown(context.Background()) })
+	s.SetLimits(front.Limits{HeaderBytes: 1024, BodyBytes: 8, HeaderTimeout: time.Second, IdleTimeout: time.Second})
+	got, gotBody, _ := ask(dial(s), text)
+	Expect(got).To(Equal(status))
+	Expect(gotBody).To(Equal(body))
+},
+	Entry("with a length", post+"Content-Length: 3\r\n\r\nabc", 200, "abc"),
+	Entry("in chunks", post+"Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n", 200, "abc"),
+	Entry("without a body", "GET /x HTTP/1.1\r\nHost: h\r\n\r\n", 200, ""),
+	Entry("too large", post+"Content-Length: 9\r\n\r\nabcdefghi", 413, ""),
+	Entry("malformed", "nonsense\r\n\r\n", 400, ""),
+	Entry("with a header that is too large", post+"A: "+strings.Repeat("x", 20_000)+"\r\n\r\n", 431, ""),
+)
+
+var _ = Describe("Server", func() {
+	It("answers many requests on one connection", func() {
+		s := serve(echo)
+		DeferCleanup(func() { _ = s.Shutdown(context.Background()) })
+		c := dial(s)
+		for i := range 5 {
+			_, body, closes := ask(c, fmt.Sprintf(post+"Content-Length: 1\r\n\r\n%d", i))
+			Expect(body).To(Equal(fmt.Sprint(i)))
+			Expect(closes).To(BeFalse())
+		}
+	})
+
+	It("tells the handler that the caller has left", func() {
+		left := make(chan struct{})
+		s := serve(func(x *front.Exchange) {
+			<-x.Left
+			close(left)
+		})
+		DeferCleanup(func() { _ = s.Shutdown(context.Background()) })
+		c := dial(s)
+		_, err := io.WriteString(c, post+"Content-Length: 0\r\n\r\n")
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(s.Active).Should(Equal(1))
+		Expect(c.Close()).To(Succeed())
+		Eventually(left, "5s").Should(BeClosed())
+	})
+
+	It("asks callers to close while it drains, and answers what is in hand at shutdown", func() {
+		entered, release := make(chan struct{}), make(chan struct{})
+		s := serve(func(x *front.Exchange) {
+			close(entered)
+			<-release
+			echo(x)
+		})
+		c := dial(s)
+		idle := dial(s)
+		answers := make(chan bool, 1)
+		go func() {
+			defer GinkgoRecover()
+			_, body, closes := ask(c, post+"Content-Length: 1\r\n\r\na")
+			answers <- body == "a" && closes
+		}()
+		<-entered
+		down := make(chan error, 1)
+		go func() { down <- s.Shutdown(context.Background()) }()
+		_, err := idle.Read(make([]byte, 1))
+		Expect(err).To(MatchError(io.EOF))
+		Consistently(down, "50ms").ShouldNot(Receive())
+		close(release)
+		Expect(<-answers).To(BeTrue())
+		Expect(<-down).To(Succeed())
+	})
+
+	// A request that has just been read was in no count, and the process ended
+	// under it (hunt-6e26-39 on ishikari-sw). Many connections on few processors
+	// make the moment between reading and counting long.
+	It("begins no request after its shutdown has returned", func() {
+		for range 60 {
+			var begun, done atomic.Int64
+			s := serve(func(x *front.Exchange) {
+				begun.Add(1)
+				echo(x)
+				done.Add(1)
+			})
+			var wg sync.WaitGroup
+			for range 40 {
+				c := dial(s)
+				wg.Go(func() {
+					for {
+						if _, err := io.WriteString(c, post+"Content-Length: 1\r\n\r\na"); err != nil {
+							return
+						}
+						var resp fasthttp.Response
+						if resp.Read(bufio.NewReader(c)) != nil || resp.ConnectionClose() {
+							return
+						}
+					}
+				})
+			}
+			time.Sleep(2 * time.Millisecond)
+			Expect(s.Shutdown(context.Background())).To(Succeed())
+			begunThen := begun.Load()
+			Expect(done.Load()).To(Equal(begunThen))
+			wg.Wait()
+			Expect(begun.Load()).To(Equal(begunThen))
+		}
+	})
+})
