Share bounds out among the VMs that a roster in the store counts

Connections of a replica, the slack for extra sends and the rate of a cold replica are bounds of the fleet.

--- a/internal/decide/retry/shared.go
+++ b/internal/decide/retry/shared.go
@@ -30,6 +30,9 @@
 // send allows, slack the number allowed beside in each window.
 func NewShared(share, slack float64) *Shared { return &Shared{share: share, slack: slack} }
 
+// SetSlack changes the slack.
+func (s *Shared) SetSlack(slack float64) { s.slack = slack }
+
 // Fresh counts a first send.
 func (s *Shared) Fresh(now time.Time) {
 	s.slide(now)
--- /dev/null
+++ b/internal/decide/share/share_test.go
@@ -0,0 +1,60 @@
+package share_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/sapphirewall/sapphirewall/internal/decide/share"
+)
+
+func TestShare(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "share")
+}
+
+func fleet(n int) []string {
+	var out []string
+	for i := range n {
+		out = append(out, fmt.Sprintf("vm-%d", i))
+	}
+	return out
+}
+
+var _ = DescribeTable("the parts of all VMs add up to the bound", func(total, vms int) {
+	nodes := fleet(vms)
+	for _, key := range []string{"a", "b"} {
+		sum := 0
+		for _, self := range nodes {
+			sum += share.Of(total, key, self, nodes)
+		}
+		Expect(sum).To(Equal(total))
+	}
+},
+	Entry("fewer units than VMs", 8, 9), Entry("more", 36, 9), Entry("a multiple", 36, 12),
+	Entry("none", 0, 9), Entry("one VM", 5, 1), Entry("many VMs", 76, 88),
+)
+
+var _ = It("gives a VM that nobody knows no unit that is left over", func() {
+	Expect(share.Of(8, "a", "stranger", fleet(9))).To(BeZero())
+})
+
+var _ = It("bounds the events of any second", func() {
+	var r share.Rate
+	now := time.Unix(1000, 0)
+	var sent []time.Time
+	for range 2000 {
+		now = now.Add(7 * time.Millisecond)
+		if r.Allows(now, 3) {
+			r.Count(now)
+			sent = append(sent, now)
+		}
+	}
+	for i := 3; i < len(sent); i++ {
+		Expect(sent[i].Sub(sent[i-3])).To(BeNumerically(">", time.Second))
+	}
+	Expect(len(sent)).To(BeNumerically(">", 30))
+})
--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -16,6 +16,13 @@
 // may run: refusals of full replicas and connections that did not come up.
 const maxResends = 6
 
+// bears reports whether a cold replica can take another request now, as far as
+// this VM's part of its rate goes. s.mu is held.
+func (s *Service) bears(now time.Time, r *replica) bool {
+	perSecond, bounded := s.coldRate(&r.belief, now)
+	return !bounded || r.cold.Allows(now, perSecond)
+}
+
 // allowed reports whether a replica may run the call's request. s.mu is held.
 func (s *Service) allowed(c *call, r *replica) bool {
 	if s.zonesOut[r.belief.Zone] || r.belief.State == discovery.Gone {
@@ -41,6 +48,9 @@
 	a := &attempt{call: c, part: send.Part, extra: send.Extra, replica: r}
 	a.flight = link.Flight{Request: &c.req.Request, Deadline: c.flightDeadline(send.Extra), SentAt: now, Idempotent: c.route.Idempotent, Done: func(*link.Flight) { a.done() }}
 	r.evidence.Sent(now)
+	if _, bounded := s.coldRate(&r.belief, now); bounded {
+		r.cold.Count(now)
+	}
 	c.machine.Sent(now, send.Part)
 	c.tried[send.Part] = append(c.tried[send.Part], r.belief.ID)
 	c.inFlight = append(c.inFlight, a)
@@ -87,7 +97,7 @@
 	var replicas [8]*replica
 	chosen := replicas[:0]
 	for _, r := range p.replicas {
-		if !c.s.allowed(c, r) || slices.Contains(c.tried[part], r.belief.ID) {
+		if !c.s.allowed(c, r) || !c.s.bears(now, r) || slices.Contains(c.tried[part], r.belief.ID) {
 			continue
 		}
 		cands = append(cands, placement.Candidate{Replica: r.evidence, Distance: r.distance, Leaving: r.belief.State == discovery.Leaving})
--- a/internal/direct/beliefs.go
+++ b/internal/direct/beliefs.go
@@ -7,6 +7,7 @@
 	"github.com/sapphirewall/sapphirewall/internal/decide/placement"
 	"github.com/sapphirewall/sapphirewall/internal/decide/quantile"
 	"github.com/sapphirewall/sapphirewall/internal/decide/retry"
+	"github.com/sapphirewall/sapphirewall/internal/decide/share"
 	"github.com/sapphirewall/sapphirewall/internal/link"
 	"github.com/sapphirewall/sapphirewall/internal/routes"
 	"github.com/sapphirewall/sapphirewall/internal/tables"
@@ -18,6 +19,7 @@
 	evidence *placement.Replica
 	peer     *link.Peer
 	distance placement.Distance
+	cold     share.Rate // requests sent while it is cold
 }
 
 // pool is what the replicas of one pool share.
@@ -49,7 +51,7 @@
 		}
 	}
 	for _, r := range s.replicas {
-		r.peer.Limit(s.connectionLimit(r.belief.Pool))
+		r.peer.Limit(s.connectionLimit(r.belief.Pool, r.distance))
 	}
 	s.metrics.set("revision", int64(t.Revision))
 	s.log.Info("tables").Uint64("revision", t.Revision).Int("routes", len(t.Routes)).Int("pools", len(t.Pools)).Msg("revision in force")
@@ -175,7 +177,7 @@
 	if r == nil {
 		r = &replica{
 			evidence: placement.NewReplica(b.Slots),
-			peer:     link.NewPeer(b.ID, b.Addr, s.connectionLimit(b.Pool), s.opts.Codec, s.opts.Dial, s.metrics.count),
+			peer:     link.NewPeer(b.ID, b.Addr, s.connectionLimit(b.Pool, s.distance(b.Zone)), s.opts.Codec, s.opts.Dial, s.metrics.count),
 			distance: s.distance(b.Zone),
 		}
 		s.replicas[b.ID] = r
@@ -207,10 +209,6 @@
 	return p
 }
 
-func (s *Service) newBudget() *retry.Shared {
-	return retry.NewShared(s.opts.RetryShare*shareUsed, max(1, s.opts.RetrySlack*slackUsed/fleetGuess))
-}
-
 func (s *Service) statsOf(route string) *routeStats {
 	st := s.routes[route]
 	if st == nil {
@@ -220,12 +218,63 @@
 	return st
 }
 
-// connectionLimit is this VM's share of a replica's connections. s.mu is held.
-func (s *Service) connectionLimit(name string) int {
+// SetFleet takes the names of all VMs that serve, this one among them.
+func (s *Service) SetFleet(nodes []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	changed := len(nodes) != len(s.fleet)
+	s.fleet = nodes
+	if !changed {
+		return
+	}
+	s.log.Info("fleet").Int("vms", len(nodes)).Msg("bounds are shared out among these VMs")
+	for _, r := range s.replicas {
+		r.peer.Limit(s.connectionLimit(r.belief.Pool, r.distance))
+	}
+	for _, p := range s.pools {
+		p.extra.SetSlack(s.slack())
+	}
+}
+
+// vms is the number of VMs among which bounds are shared out. s.mu is held.
+func (s *Service) vms() int {
+	if len(s.fleet) == 0 {
+		return fleetGuess
+	}
+	return len(s.fleet)
+}
+
+// slack is this VM's part of the fleet's slack for extra sends. s.mu is held.
+func (s *Service) slack() float64 { return s.opts.RetrySlack * slackUsed / float64(s.vms()) }
+
+func (s *Service) newBudget() *retry.Shared {
+	return retry.NewShared(s.opts.RetryShare*shareUsed, s.slack())
+}
+
+// connectionLimit is this VM's part of a replica's connections. s.mu is held.
+func (s *Service) connectionLimit(name string, d placement.Distance) int {
 	if s.now == nil || s.now.tables.Pools[name] == nil {
 		return leastConnections
 	}
-	return max(leastConnections, s.now.tables.Pools[name].Connections/fleetGuess)
+	even := float64(s.now.tables.Pools[name].Connections) / float64(s.vms())
+	if d != placement.OtherRegion {
+		even *= nearConnections
+	}
+	return max(leastConnections, int(even))
+}
+
+// coldRate is the number of requests that this VM may send to a cold replica of
+// a pool in a second; bounded is false if there is no bound. s.mu is held.
+func (s *Service) coldRate(b *discovery.Belief, now time.Time) (perSecond int, bounded bool) {
+	p := s.now.tables.Pools[b.Pool]
+	if p == nil || p.ColdRate <= 0 || !now.Before(b.ColdEnd) {
+		return 0, false
+	}
+	total := int(p.ColdRate*s.opts.ColdOverage) + s.opts.ColdSlack
+	if len(s.fleet) == 0 {
+		return total / fleetGuess, true
+	}
+	return share.Of(total, b.ID, s.opts.Node, s.fleet), true
 }
 
 func (s *Service) distance(zone string) placement.Distance {
--- a/internal/direct/options.go
+++ b/internal/direct/options.go
@@ -13,6 +13,10 @@
 	Regions map[string]string // zone to region, of all zones
 	Codec   link.Codec
 	Dial    link.DialFunc
+	// ColdOverage and ColdSlack widen what a cold replica bears: in a second all
+	// VMs may send it its rate times the overage, and the slack beside.
+	ColdOverage float64
+	ColdSlack   int
 	// RetryShare is the number of extra sends that the platform allows for each
 	// request, and RetrySlack how many the whole fleet may make beside.
 	RetryShare float64
@@ -60,10 +64,14 @@
 	// reportEvery is the time between two lines with all counters, for whoever
 	// has only the logs.
 	reportEvery = 30 * time.Second
-	// fleetGuess is the number of VMs that share a replica's connections while
-	// nothing is known of the fleet.
+	// fleetGuess is the number of VMs that share what is bounded for all while
+	// nothing is known of the fleet: today's larger deployment.
 	fleetGuess = 10
 	// leastConnections is the number of connections to a replica that a VM may
-	// hold however many VMs there are.
+	// hold however many VMs there are: one for a hedge, one for what comes next.
 	leastConnections = 2
+	// nearConnections is how many times a VM's even part of a replica's
+	// connections those in the replica's own region may hold: they send nearly
+	// all of its requests, and the others few.
+	nearConnections = 1.5
 )
--- a/internal/direct/service.go
+++ b/internal/direct/service.go
@@ -49,6 +49,7 @@
 	routes    map[string]*routeStats
 	poison    *poison.Tracker
 	rng       *rand.Rand
+	fleet     []string  // VMs that serve; empty: not known
 	storeAway time.Time // since when; zero: it is reached
 
 	wake chan struct{} // tells that beliefs may change at another time
--- a/internal/settings/fields.go
+++ b/internal/settings/fields.go
@@ -39,6 +39,8 @@
 	{"direct", "ready", "127.0.0.1:7031", "Address of sw-node that the balancer asks for readiness, IP:port.", addr(func(s *Settings) *string { return &s.Direct.Ready })},
 	{"direct", "admin", "127.0.0.1:7032", "Address of /vars, /metrics, /live and /ready of sw-node, IP:port.", addr(func(s *Settings) *string { return &s.Direct.Admin })},
 	{"direct", "regions", "zone-1=region-1", "Region of each availability zone: zone=region, zone=region.", pairs(func(s *Settings) *map[string]string { return &s.Direct.Regions })},
+	{"direct", "cold-overage", "1", "Factor on the rate that a cold replica bears from all VMs.", factor(func(s *Settings) *float64 { return &s.Direct.ColdOverage })},
+	{"direct", "cold-slack", "0", "Requests a second that a cold replica bears from all VMs beside its rate.", number(0, maxSlack, func(s *Settings) *int { return &s.Direct.ColdSlack })},
 	{"direct", "retry-share", "20%", "Extra sends that all VMs may make to a pool, as a share of its requests.", share(func(s *Settings) *float64 { return &s.Direct.RetryShare })},
 	{"direct", "retry-slack", "50", "Extra sends that all VMs may make to a pool in a few seconds beside that share.", number(0, maxSlack, func(s *Settings) *int { return &s.Direct.RetrySlack })},
 
@@ -104,6 +106,18 @@
 	}
 }
 
+// factor reads a plain number of 0 or more.
+func factor(at func(*Settings) *float64) readFunc {
+	return func(r *inifile.Reader, key, def string, s *Settings) {
+		f, err := strconv.ParseFloat(r.String(key, def), 64)
+		if err != nil || f < 0 {
+			r.Fail(key, "bad number", "write a number of 0 or more, such as 1.5")
+			return
+		}
+		*at(s) = f
+	}
+}
+
 // pairs reads "name=value, name=value".
 func pairs(at func(*Settings) *map[string]string) readFunc {
 	return func(r *inifile.Reader, key, def string, s *Settings) {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -67,6 +67,10 @@
 	Ready   string            // the balancer's question
 	Admin   string            // /vars, /metrics, /live and /ready
 	Regions map[string]string // availability zone to region, of all zones
+	// ColdOverage and ColdSlack widen the rate that a cold replica bears from
+	// all VMs: a factor and a number of requests.
+	ColdOverage float64
+	ColdSlack   int
 	// RetryShare and RetrySlack bound the extra sends of all VMs: a share of the
 	// requests and a number beside.
 	RetryShare float64
