Fewer store calls, hedges from small budgets, faster first evidence

Change: the pause after a change doubles while changes keep coming, up to 0.7 s; hedges may use 0.9 of a budget of any size; the first answers of a replica tell more, and a slow one is tried by at most one request in 13. Ruled out: resets for want of connections (0 logged), processor (0.2 s a VM).

--- a/internal/decide/placement/choose.go
+++ b/internal/decide/placement/choose.go
@@ -60,6 +60,11 @@
 			best, bestCost = i, cost
 		}
 	}
+	for i := range cands {
+		if i != best {
+			cands[i].Replica.passed++
+		}
+	}
 	return best
 }
 
--- a/internal/decide/placement/replica.go
+++ b/internal/decide/placement/replica.go
@@ -10,6 +10,11 @@
 	// speedWeight is the weight of one latency in the learned speed: about
 	// seven answers tell a change, one long request doesn't.
 	speedWeight = 0.15
+	// firstSeen is the number of usual answers that a replica is taken to have
+	// given before its first one, and learnCount that from which speedWeight
+	// holds. The first answers tell more, since there is nothing else to go by.
+	firstSeen  = 4
+	learnCount = 10
 	// maxRatio bounds what one latency counts, as a multiple of the usual.
 	maxRatio = 30
 	// slowRatio is the learned speed from which a replica counts as slow: beyond
@@ -23,6 +28,9 @@
 	// one that stays slow is likely to need a hedge.
 	firstTrial   = 200 * time.Millisecond
 	longestTrial = 1500 * time.Millisecond
+	// trialPassed is how many requests go past a slow replica for each that
+	// tries it: a VM with few requests would else spend most of them on trials.
+	trialPassed = 12
 	// failureWeight is the weight of one attempt in the learned share of
 	// failures, and failureHalfLife the time in which half of that share is
 	// forgotten without attempts.
@@ -47,6 +55,8 @@
 	speed    float64     // latency over the usual, smoothed
 	trialAt  time.Time   // when a slow replica may be tried again
 	trialGap time.Duration
+	passed   int       // requests that went elsewhere since the last one
+	seen     int       // answers, up to learnCount
 	failing  float64   // share of attempts that fail or are rejected, smoothed
 	failedAt time.Time // of failing
 	waiting  int       // told load beyond this VM's own share
@@ -70,6 +80,7 @@
 	if r.speed > slowRatio {
 		r.trialAt = now.Add(r.trialGap)
 	}
+	r.passed = 0
 	r.sent = append(r.sent, now)
 }
 
@@ -142,10 +153,11 @@
 // learn takes one latency as a multiple of the usual one.
 func (r *Replica) learn(now time.Time, ratio float64) {
 	slow := r.speed > slowRatio
-	weight := speedWeight
+	weight := max(speedWeight, 1/float64(r.seen+firstSeen))
 	if slow {
 		weight = slowWeight
 	}
+	r.seen = min(r.seen+1, learnCount)
 	r.speed += weight * (min(ratio, maxRatio) - r.speed)
 	switch {
 	case r.speed <= slowRatio:
@@ -163,7 +175,7 @@
 // speedNow is the learned speed; that of a slow replica whose trial is due is
 // taken for usual, for one request.
 func (r *Replica) speedNow(now time.Time) float64 {
-	if r.speed > slowRatio && len(r.sent) == 0 && !now.Before(r.trialAt) {
+	if r.speed > slowRatio && len(r.sent) == 0 && r.passed >= trialPassed && !now.Before(r.trialAt) {
 		return 1
 	}
 	return r.speed
--- a/internal/decide/retry/shared.go
+++ b/internal/decide/retry/shared.go
@@ -8,9 +8,9 @@
 	Window = 10 * time.Second
 	// slots is the number of steps in which the window slides.
 	slots = 20
-	// hedgeReserve is what hedges leave for retries: a part that has failed can
-	// be had in no other way, a late one may still come.
-	hedgeReserve = 2
+	// hedgeShare is the part of a budget that hedges may use up: a part that has
+	// failed can be had in no other way, a late one may still come.
+	hedgeShare = 0.9
 )
 
 // Shared bounds the extra sends of one pool in each window by a share of this
@@ -44,7 +44,7 @@
 func (s *Shared) TakeRetry(now time.Time) bool { return s.take(now, 1) }
 
 // TakeHedge takes one extra send for a part that is late.
-func (s *Shared) TakeHedge(now time.Time) bool { return s.take(now, 1+hedgeReserve) }
+func (s *Shared) TakeHedge(now time.Time) bool { return s.take(now, hedgeShare) }
 
 // Return gives back an extra send that did not reach its replica. One that has
 // left the window is forgotten already.
@@ -57,9 +57,10 @@
 	}
 }
 
-func (s *Shared) take(now time.Time, least float64) bool {
+// take takes one extra send if it keeps within a part of the budget.
+func (s *Shared) take(now time.Time, part float64) bool {
 	s.slide(now)
-	if float64(s.sums[1])+least > s.share*float64(s.sums[0])+s.slack {
+	if float64(s.sums[1]+1) > part*(s.share*float64(s.sums[0])+s.slack) {
 		return false
 	}
 	s.extra[s.step%slots]++
--- a/internal/storewatch/watch.go
+++ b/internal/storewatch/watch.go
@@ -18,12 +18,16 @@
 
 // The times of a watch.
 const (
-	// wait is how long one watch call may wait for a change: long, since each
-	// call has its price, and keep-alive probes tell of a lost connection.
-	wait = 20 * time.Second
-	// settle is the pause after changes, in which others that come close to
-	// them gather for the next call. Changes are due in seconds.
-	settle = 150 * time.Millisecond
+	// wait is how long one watch call may wait for a change: the longest that
+	// the platform allows, since each call has its price, and keep-alive probes
+	// tell of a lost connection.
+	wait = 30 * time.Second
+	// firstSettle is the pause after a change that came alone, in which others
+	// that come close to it gather for the next call. While calls keep bringing
+	// changes the pause doubles up to longestSettle, which leaves two of the
+	// three seconds in which the change of an upstream is due.
+	firstSettle   = 150 * time.Millisecond
+	longestSettle = 700 * time.Millisecond
 )
 
 // pace bounds the calls while the store is away. A VM must see its return
@@ -62,7 +66,9 @@
 // Run follows the prefix until ctx ends.
 func (w *Watch) Run(ctx context.Context) {
 	pacer := backoff.New(pace, w.rng)
+	settle := firstSettle
 	for ctx.Err() == nil {
+		begin := time.Now()
 		changed, err := w.step(ctx)
 		now := time.Now()
 		if ctx.Err() != nil {
@@ -76,8 +82,12 @@
 			continue
 		}
 		pacer.Done(now, true)
+		if now.Sub(begin) > settle {
+			settle = firstSettle
+		}
 		if changed {
 			sleep(ctx, settle)
+			settle = min(2*settle, longestSettle)
 		}
 	}
 }
