Read the store through two relays in zones of six VMs or more

Change: in a zone of six VMs or more two, chosen by decide/relay over the roster, watch the store; the others long-poll one of them, go to the next when it can't tell, and then to the store (storerelay). Revisions mean the same at every source. The roster's entries carry zone and address; a VM that is back finds the relays at once. Ruled out: one watch over all keys (each VM's entry would wake every VM), relays in small zones (a step more for 9 VMs that make 26 calls each).

--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -23,13 +23,14 @@
 const (
 	// ttl is the life of an entry without renewal: a VM that is restarted or
 	// paused for a moment keeps its place.
-	ttl = 10 * time.Second
+	ttl = 30 * time.Second
 	// renewEvery leaves room for two renewals that fail.
-	renewEvery = 3 * time.Second
+	renewEvery = 10 * time.Second
 	// countEvery is the time between two counts: VMs come and go seldom.
-	countEvery = 6 * time.Second
-	// firstCount is how long after the start the others have entered too.
-	firstCount = 1500 * time.Millisecond
+	countEvery = 10 * time.Second
+	// nextCount is how long after the start all VMs that started together have
+	// entered.
+	nextCount = 1500 * time.Millisecond
 	// keep is how long a VM is counted after its entry was last seen: what was
 	// shared out among more VMs is safe among fewer, not the other way round.
 	keep = 30 * time.Second
@@ -39,20 +40,30 @@
 type Store interface {
 	Grant(ctx context.Context, ttl time.Duration) (platform.LeaseID, error)
 	Renew(ctx context.Context, id platform.LeaseID) error
-	CompareAndSwap(ctx context.Context, key string, expect uint64, value []byte, lease platform.LeaseID) (platform.Entry, error)
-	// Names returns the keys of a prefix; they may be seconds old.
-	Names(ctx context.Context, prefix string) ([]string, error)
+	// Put writes a key whatever it holds.
+	Put(ctx context.Context, key string, value []byte, lease platform.LeaseID) error
+	// ListStale returns the entries of a prefix as they were some seconds ago
+	// at most.
+	ListStale(ctx context.Context, prefix string) ([]platform.Entry, error)
+}
+
+// Node is one VM that serves. Its entry is "zone address".
+type Node struct {
+	Name string
+	Zone string
+	Addr string // IP:port, for other VMs
 }
 
 // Service keeps the entry and counts.
 type Service struct {
 	store  Store
 	prefix string // of the entries
-	self   string
-	tell   func(nodes []string)
+	self   Node
+	tell   func(nodes []Node)
 	log    zerolog.Logger
 
 	lease platform.LeaseID // 0: none
+	nodes map[string]Node
 	seen  map[string]time.Time
 	lost  bool
 
@@ -60,10 +71,10 @@
 	wg   sync.WaitGroup
 }
 
-// New returns the roster of a VM; tell is called with the names of all VMs,
-// this one among them, whenever they have been counted.
-func New(store Store, prefix, self string, tell func(nodes []string), log zerolog.Logger) *Service {
-	return &Service{store: store, prefix: prefix, self: self, tell: tell, log: log, seen: map[string]time.Time{}}
+// New returns the roster of a VM; tell is called with all VMs, this one among
+// them, whenever they have been counted.
+func New(store Store, prefix string, self Node, tell func(nodes []Node), log zerolog.Logger) *Service {
+	return &Service{store: store, prefix: prefix, self: self, tell: tell, log: log, nodes: map[string]Node{}, seen: map[string]time.Time{}}
 }
 
 // Name implements kernel.Service.
@@ -91,10 +102,13 @@
 }
 
 func (s *Service) run(ctx context.Context) {
+	// A VM that is back finds the others at once; those that start together
+	// find each other at the next count.
+	s.report("count", s.count(ctx, time.Now()))
 	s.report("enter", s.enter(ctx))
 	renew := time.NewTicker(renewEvery)
 	defer renew.Stop()
-	count := time.NewTimer(firstCount)
+	count := time.NewTimer(nextCount)
 	defer count.Stop()
 	for {
 		select {
@@ -109,15 +123,13 @@
 	}
 }
 
-// enter makes the VM's entry. One of an earlier process of the VM stands until
-// its lease ends, and counts as well.
+// enter makes the VM's entry, or takes over that of an earlier process of it.
 func (s *Service) enter(ctx context.Context) error {
 	lease, err := s.store.Grant(ctx, ttl)
 	if err != nil {
 		return err
 	}
-	_, err = s.store.CompareAndSwap(ctx, s.prefix+s.self, 0, []byte(s.self), lease)
-	if err != nil && !errors.Is(err, platform.ErrUnknown) {
+	if err := s.store.Put(ctx, s.prefix+s.self.Name, []byte(s.self.Zone+" "+s.self.Addr), lease); err != nil {
 		return err
 	}
 	s.lease = lease
@@ -137,21 +149,28 @@
 }
 
 func (s *Service) count(ctx context.Context, now time.Time) error {
-	names, err := s.store.Names(ctx, s.prefix)
+	entries, err := s.store.ListStale(ctx, s.prefix)
 	if err != nil {
 		return err
 	}
-	for _, name := range names {
-		s.seen[strings.TrimPrefix(name, s.prefix)] = now
+	for _, e := range entries {
+		name := strings.TrimPrefix(e.Key, s.prefix)
+		zone, addr, _ := strings.Cut(string(e.Value), " ")
+		s.nodes[name] = Node{Name: name, Zone: zone, Addr: addr}
+		s.seen[name] = now
+	}
+	if len(entries) == 0 {
+		return nil // nobody has entered yet, not this VM either
 	}
-	s.seen[s.self] = now
-	nodes := make([]string, 0, len(s.seen))
-	for node, at := range s.seen {
+	s.nodes[s.self.Name], s.seen[s.self.Name] = s.self, now
+	var nodes []Node
+	for name, at := range s.seen {
 		if now.Sub(at) > keep {
-			delete(s.seen, node)
+			delete(s.seen, name)
+			delete(s.nodes, name)
 			continue
 		}
-		nodes = append(nodes, node)
+		nodes = append(nodes, s.nodes[name])
 	}
 	s.tell(nodes)
 	return nil
--- a/internal/settings/fields.go
+++ b/internal/settings/fields.go
@@ -38,6 +38,7 @@
 	{"direct", "listen", "127.0.0.1:7030", "Address of sw-node for callers, IP:port.", addr(func(s *Settings) *string { return &s.Direct.Listen })},
 	{"direct", "ready", "127.0.0.1:7031", "Address of sw-node that the balancer asks for readiness, IP:port.", addr(func(s *Settings) *string { return &s.Direct.Ready })},
 	{"direct", "admin", "127.0.0.1:7032", "Address of /vars, /metrics, /live and /ready of sw-node, IP:port.", addr(func(s *Settings) *string { return &s.Direct.Admin })},
+	{"direct", "relay", "127.0.0.1:7033", "Address of sw-node for other VMs that read the store through it, IP:port.", addr(func(s *Settings) *string { return &s.Direct.Relay })},
 	{"direct", "regions", "zone-1=region-1", "Region of each availability zone: zone=region, zone=region.", pairs(func(s *Settings) *map[string]string { return &s.Direct.Regions })},
 	{"direct", "cold-overage", "1", "Factor on the rate that a cold replica bears from all VMs.", factor(func(s *Settings) *float64 { return &s.Direct.ColdOverage })},
 	{"direct", "cold-slack", "0", "Requests a second that a cold replica bears from all VMs beside its rate.", number(0, maxSlack, func(s *Settings) *int { return &s.Direct.ColdSlack })},
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -66,6 +66,7 @@
 	Listen  string            // callers' HTTP
 	Ready   string            // the balancer's question
 	Admin   string            // /vars, /metrics, /live and /ready
+	Relay   string            // other VMs
 	Regions map[string]string // availability zone to region, of all zones
 	// ColdOverage and ColdSlack widen the rate that a cold replica bears from
 	// all VMs: a factor and a number of requests.
--- /dev/null
+++ b/internal/storerelay/mirror.go
@@ -0,0 +1,145 @@
+package storerelay
+
+import (
+	"context"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/sapphirewall/sapphirewall/internal/platform"
+	"github.com/sapphirewall/sapphirewall/internal/storewatch"
+)
+
+// maxHistory bounds the changes that a mirror remembers: far more than come in
+// the time between two polls.
+const maxHistory = 4096
+
+// Mirror keeps what a watch has brought, for others to ask, and hands it on. It
+// implements storewatch.Handler and platform.Watcher, and is safe for concurrent
+// use.
+type Mirror struct {
+	next storewatch.Handler
+
+	mu       sync.Mutex // guards all below
+	entries  map[string]platform.Entry
+	history  []platform.Entry
+	since    uint64 // history has all changes after this revision
+	revision uint64 // 0: nothing is known yet
+	away     bool
+	changed  chan struct{} // closed and replaced at each change
+}
+
+// NewMirror returns a mirror that hands everything on to next.
+func NewMirror(next storewatch.Handler) *Mirror {
+	return &Mirror{next: next, entries: map[string]platform.Entry{}, changed: make(chan struct{})}
+}
+
+// Replace implements storewatch.Handler.
+func (m *Mirror) Replace(entries []platform.Entry, revision uint64) {
+	m.mu.Lock()
+	m.entries = make(map[string]platform.Entry, len(entries))
+	for _, e := range entries {
+		m.entries[e.Key] = e
+	}
+	m.history, m.since, m.revision = nil, revision, revision
+	m.tell()
+	m.mu.Unlock()
+	m.next.Replace(entries, revision)
+}
+
+// Apply implements storewatch.Handler.
+func (m *Mirror) Apply(changes []platform.Entry) {
+	m.mu.Lock()
+	for _, e := range changes {
+		if e.Revision <= m.revision {
+			continue
+		}
+		m.revision = e.Revision
+		m.history = append(m.history, e)
+		m.entries[e.Key] = e
+		if e.Deleted {
+			delete(m.entries, e.Key)
+		}
+	}
+	if over := len(m.history) - maxHistory; over > 0 {
+		m.since = m.history[over-1].Revision
+		m.history = append([]platform.Entry(nil), m.history[over:]...)
+	}
+	m.tell()
+	m.mu.Unlock()
+	m.next.Apply(changes)
+}
+
+// Away implements storewatch.Handler.
+func (m *Mirror) Away(err error) {
+	m.mu.Lock()
+	m.away = true
+	m.tell()
+	m.mu.Unlock()
+	m.next.Away(err)
+}
+
+// Back implements storewatch.Handler.
+func (m *Mirror) Back() {
+	m.mu.Lock()
+	m.away = false
+	m.mu.Unlock()
+	m.next.Back()
+}
+
+// tell wakes those who wait. m.mu is held.
+func (m *Mirror) tell() {
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
+// Snapshot returns all entries, or ErrUnavailable while they are not known.
+func (m *Mirror) Snapshot(context.Context, string) (platform.Changes, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.away || m.revision == 0 {
+		return platform.Changes{}, platform.ErrUnavailable
+	}
+	out := platform.Changes{Revision: m.revision, Entries: make([]platform.Entry, 0, len(m.entries))}
+	for _, e := range m.entries {
+		out.Entries = append(out.Entries, e)
+	}
+	sort.Slice(out.Entries, func(i, j int) bool { return out.Entries[i].Key < out.Entries[j].Key })
+	return out, nil
+}
+
+// Watch returns the changes after a revision, once there are any or wait is
+// over.
+func (m *Mirror) Watch(ctx context.Context, _ string, from uint64, wait time.Duration) (platform.Changes, error) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		out, changed, err := m.after(from)
+		if err != nil || len(out.Entries) > 0 {
+			return out, err
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return out, nil
+		case <-ctx.Done():
+			return out, ctx.Err()
+		}
+	}
+}
+
+// after returns the changes after a revision, and a channel that is closed when
+// there may be more.
+func (m *Mirror) after(from uint64) (platform.Changes, <-chan struct{}, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	switch {
+	case m.away || m.revision == 0:
+		return platform.Changes{}, nil, platform.ErrUnavailable
+	case from < m.since:
+		return platform.Changes{}, nil, platform.ErrCompacted
+	}
+	first := sort.Search(len(m.history), func(i int) bool { return m.history[i].Revision > from })
+	out := platform.Changes{Revision: max(from, m.revision), Entries: append([]platform.Entry(nil), m.history[first:]...)}
+	return out, m.changed, nil
+}
--- /dev/null
+++ b/internal/storerelay/relay_test.go
@@ -0,0 +1,262 @@
+package storerelay_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"github.com/sapphirewall/sapphirewall/internal/platform"
+	"github.com/sapphirewall/sapphirewall/internal/storerelay"
+	"github.com/sapphirewall/sapphirewall/internal/storewatch"
+)
+
+func TestStoreRelay(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "storerelay")
+}
+
+// store is a store of one key that counts calls; it may be cut from some VMs.
+type store struct {
+	mu       sync.Mutex
+	revision uint64
+	value    string
+	watches  map[string]int
+	cut      map[string]bool
+	changed  chan struct{}
+}
+
+func newStore() *store {
+	return &store{revision: 1, value: "1", watches: map[string]int{}, cut: map[string]bool{}, changed: make(chan struct{})}
+}
+
+func (s *store) set(value string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.value = value
+	s.revision++
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *store) disconnect(vm string, cut bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cut[vm] = cut
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// seenBy is the store as one VM reaches it.
+type seenBy struct {
+	*store
+	vm string
+}
+
+func (s seenBy) Snapshot(context.Context, string) (platform.Changes, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.cut[s.vm] {
+		return platform.Changes{}, platform.ErrUnavailable
+	}
+	return s.now(), nil
+}
+
+func (s seenBy) now() platform.Changes {
+	return platform.Changes{Revision: s.revision, Entries: []platform.Entry{{Key: "k", Value: []byte(s.value), Revision: s.revision}}}
+}
+
+func (s seenBy) Watch(ctx context.Context, _ string, from uint64, wait time.Duration) (platform.Changes, error) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	s.mu.Lock()
+	s.watches[s.vm]++
+	s.mu.Unlock()
+	for {
+		s.mu.Lock()
+		cut, changed, c := s.cut[s.vm], s.changed, s.now()
+		s.mu.Unlock()
+		switch {
+		case cut:
+			return platform.Changes{}, platform.ErrUnavailable
+		case c.Revision > from:
+			return c, nil
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return platform.Changes{Revision: from}, nil
+		case <-ctx.Done():
+			return c, ctx.Err()
+		}
+	}
+}
+
+// vm is one VM with its watch.
+type vm struct {
+	storerelay.Node
+	service *storerelay.Service
+	mu      sync.Mutex
+	value   string
+}
+
+func (v *vm) Replace(entries []platform.Entry, _ uint64) { v.Apply(entries) }
+
+func (v *vm) Apply(changes []platform.Entry) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, e := range changes {
+		v.value = string(e.Value)
+	}
+}
+func (v *vm) Away(error) {}
+func (v *vm) Back()      {}
+
+func (v *vm) get() string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.value
+}
+
+// zone starts the VMs of a zone.
+func zone(st *store, n int) []*vm {
+	var vms []*vm
+	var nodes []storerelay.Node
+	for i := range n {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		v := &vm{Node: storerelay.Node{Name: fmt.Sprintf("vm-%d", i), Zone: "a", Addr: ln.Addr().String()}}
+		Expect(ln.Close()).To(Succeed())
+		v.service = storerelay.New(seenBy{st, v.Name}, "fleet", v.Node, zerolog.New(GinkgoWriter))
+		Expect(v.service.Start(context.Background(), nil)).To(Succeed())
+		vms, nodes = append(vms, v), append(nodes, v.Node)
+	}
+	for _, v := range vms {
+		v.service.SetNodes(nodes)
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		m := v.service.Mirror("", v)
+		go func() {
+			defer close(done)
+			storewatch.New(v.service, "", m, zerolog.New(GinkgoWriter)).Run(ctx)
+		}()
+		DeferCleanup(func() {
+			cancel()
+			<-done
+			Expect(v.service.Stop(context.Background())).To(Succeed())
+		})
+	}
+	return vms
+}
+
+func (s *store) watchers() (out []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for vm, n := range s.watches {
+		if n > 0 {
+			out = append(out, vm)
+		}
+	}
+	return out
+}
+
+func expectAll(vms []*vm, value string, within time.Duration) {
+	for _, v := range vms {
+		EventuallyWithOffset(1, v.get, within).Should(Equal(value), v.Name)
+	}
+}
+
+var _ = Describe("a zone", func() {
+	It("of many VMs watches the store by two of them, and all learn of a change", func() {
+		st := newStore()
+		vms := zone(st, 8)
+		expectAll(vms, "1", 5*time.Second)
+		time.Sleep(time.Second) // those that began before the relays knew anything are done
+		st.mu.Lock()
+		clear(st.watches)
+		st.mu.Unlock()
+		for i := 2; i < 6; i++ {
+			st.set(fmt.Sprint(i))
+			expectAll(vms, fmt.Sprint(i), 5*time.Second)
+		}
+		Expect(len(st.watchers())).To(BeNumerically("<=", 2))
+	})
+
+	It("of few VMs watches the store by all of them", func() {
+		st := newStore()
+		vms := zone(st, 3)
+		expectAll(vms, "1", 5*time.Second)
+		st.set("2")
+		expectAll(vms, "2", 5*time.Second)
+		Eventually(st.watchers, "2s").Should(HaveLen(3))
+	})
+
+	It("learns of a change within three seconds when its relays have lost the store", func() {
+		st := newStore()
+		vms := zone(st, 8)
+		expectAll(vms, "1", 5*time.Second)
+		time.Sleep(500 * time.Millisecond)
+		var others []*vm
+		relays := map[string]bool{}
+		for _, name := range st.watchers() {
+			relays[name] = true
+			st.disconnect(name, true)
+		}
+		for _, v := range vms {
+			if !relays[v.Name] {
+				others = append(others, v)
+			}
+		}
+		st.set("2")
+		expectAll(others, "2", 3*time.Second)
+	})
+
+	It("learns of a change within three seconds when a relay is gone", func() {
+		st := newStore()
+		vms := zone(st, 8)
+		expectAll(vms, "1", 5*time.Second)
+		time.Sleep(500 * time.Millisecond)
+		gone := st.watchers()[0]
+		var others []*vm
+		for _, v := range vms {
+			if v.Name == gone {
+				Expect(v.service.Stop(context.Background())).To(Succeed())
+				continue
+			}
+			others = append(others, v)
+		}
+		st.set("2")
+		expectAll(others, "2", 3*time.Second)
+	})
+})
+
+var _ = Describe("Mirror", func() {
+	entry := func(rev uint64, deleted bool) platform.Entry {
+		return platform.Entry{Key: fmt.Sprint("k", rev%3), Revision: rev, Deleted: deleted}
+	}
+
+	It("tells what has changed after any revision since its last reading", func() {
+		m := storerelay.NewMirror(&vm{})
+		_, err := m.Watch(context.Background(), "", 1, 0)
+		Expect(err).To(MatchError(platform.ErrUnavailable))
+		m.Replace([]platform.Entry{entry(3, false)}, 5)
+		m.Apply([]platform.Entry{entry(6, false), entry(9, true)})
+		c, err := m.Watch(context.Background(), "", 6, 0)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(c).To(Equal(platform.Changes{Revision: 9, Entries: []platform.Entry{entry(9, true)}}))
+		_, err = m.Watch(context.Background(), "", 4, 0)
+		Expect(err).To(MatchError(platform.ErrCompacted))
+		c, err = m.Snapshot(context.Background(), "")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(c.Entries).To(BeEmpty(), "k0 was written at 6 and removed at 9")
+		m.Away(platform.ErrUnavailable)
+		_, err = m.Snapshot(context.Background(), "")
+		Expect(err).To(MatchError(platform.ErrUnavailable))
+	})
+})
--- /dev/null
+++ b/internal/storerelay/service.go
@@ -0,0 +1,260 @@
+package storerelay
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
+
+	"github.com/sapphirewall/sapphirewall/internal/decide/ownership"
+	"github.com/sapphirewall/sapphirewall/internal/decide/relay"
+	"github.com/sapphirewall/sapphirewall/internal/kernel"
+	"github.com/sapphirewall/sapphirewall/internal/peer"
+	"github.com/sapphirewall/sapphirewall/internal/platform"
+	"github.com/sapphirewall/sapphirewall/internal/storewatch"
+	"github.com/sapphirewall/sapphirewall/proto/swpb"
+)
+
+// ServiceName is the kernel name of the service.
+const ServiceName = "store-relay"
+
+// The constants of relaying.
+const (
+	// relaysPerZone is two, so that one may be lost without a call to the store
+	// from every VM.
+	relaysPerZone = 2
+	// leastZone is the number of VMs in a zone from which relays are used: below,
+	// they save few calls, and a change takes one step more.
+	leastZone = 6
+	// relayWait is how long a poll of a relay may wait: each is cheap, and its
+	// end lets a VM see that its relays have changed.
+	relayWait = 5 * time.Second
+	// silentAfter is when a relay that brings no byte is given up, a third of
+	// the time in which changes are due.
+	silentAfter = 1200 * time.Millisecond
+	// restAfter is how long a relay that could not tell is left alone.
+	restAfter = 3 * time.Second
+)
+
+// Node is one VM that serves.
+type Node struct {
+	Name string
+	Zone string
+	Addr string // of its relay service, IP:port
+}
+
+// Service is a platform.Watcher for the process, and answers other VMs.
+type Service struct {
+	store platform.Watcher
+	self  Node
+	pool  *peer.Pool
+	opts  peer.Options
+	log   zerolog.Logger
+
+	mu      sync.Mutex // guards all below
+	mirrors map[string]*Mirror
+	direct  bool     // this VM reads the store
+	relays  []string // addresses of the relays to ask, if it doesn't
+	resting map[string]time.Time
+	known   chan struct{} // closed once the VMs are known
+	server  *peer.Server
+}
+
+// New returns the relay service of a VM of a fleet.
+func New(store platform.Watcher, fleet string, self Node, log zerolog.Logger) *Service {
+	o := peer.Options{
+		Self:  peer.Identity{Fleet: fleet, Node: self.Name, Zone: self.Zone, Role: peer.RoleControl, Incarnation: uint64(time.Now().UnixNano())},
+		Lanes: 1, SilentAfter: silentAfter,
+	}
+	return &Service{
+		store: store, self: self, opts: o, pool: peer.NewPool(o), log: log,
+		mirrors: map[string]*Mirror{}, direct: true, resting: map[string]time.Time{}, known: make(chan struct{}),
+	}
+}
+
+// Name implements kernel.Service.
+func (s *Service) Name() string { return ServiceName }
+
+// Needs implements kernel.Service.
+func (s *Service) Needs() []string { return nil }
+
+// Ready implements kernel.Service.
+func (s *Service) Ready() error { return nil }
+
+// Start implements kernel.Service.
+func (s *Service) Start(context.Context, *kernel.Kernel) error {
+	ln, err := net.Listen("tcp", s.self.Addr)
+	if err != nil {
+		return eris.Wrapf(err, "listen on [direct] relay = %s", s.self.Addr)
+	}
+	s.server = peer.Serve(ln, s.opts, peer.HandlerFunc(s.handle))
+	return nil
+}
+
+// Stop implements kernel.Service.
+func (s *Service) Stop(context.Context) error {
+	s.pool.Close()
+	s.server.Close()
+	return nil
+}
+
+// Mirror returns the handler for the watch of a prefix that hands on to next.
+func (s *Service) Mirror(prefix string, next storewatch.Handler) *Mirror {
+	m := NewMirror(next)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.mirrors[prefix] = m
+	return m
+}
+
+// SetNodes takes the VMs that serve, this one among them.
+func (s *Service) SetNodes(nodes []Node) {
+	var cands []ownership.Candidate
+	addrs := map[string]string{}
+	for _, n := range nodes {
+		addrs[n.Name] = n.Addr
+		if n.Zone == s.self.Zone && n.Addr != "" {
+			cands = append(cands, ownership.Candidate{Node: n.Name, Zone: n.Zone})
+		}
+	}
+	route := relay.Route{Platform: true}
+	if len(cands) >= leastZone {
+		route = relay.RouteOf(s.self.Name, s.self.Zone, cands, relaysPerZone)
+	}
+	var relays []string
+	for _, r := range route.Relays {
+		relays = append(relays, addrs[r])
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if route.Platform != s.direct || len(relays) != len(s.relays) {
+		s.log.Info().Str("kind", "relay").Bool("direct", route.Platform).Strs("relays", relays).Int("zone_vms", len(cands)).Msg("source of the store's changes")
+	}
+	s.direct, s.relays = route.Platform, relays
+	select {
+	case <-s.known:
+	default:
+		close(s.known)
+	}
+}
+
+// Known is closed once the VMs are known.
+func (s *Service) Known() <-chan struct{} { return s.known }
+
+// Snapshot implements platform.Watcher.
+func (s *Service) Snapshot(ctx context.Context, prefix string) (platform.Changes, error) {
+	req := &swpb.StoreRequest{Prefix: prefix, Snapshot: true}
+	if c, err, told := s.ask(ctx, req); told {
+		return c, err
+	}
+	return s.store.Snapshot(ctx, prefix)
+}
+
+// Watch implements platform.Watcher.
+func (s *Service) Watch(ctx context.Context, prefix string, from uint64, wait time.Duration) (platform.Changes, error) {
+	req := &swpb.StoreRequest{Prefix: prefix, After: from, WaitMs: uint32(min(wait, relayWait).Milliseconds())}
+	if c, err, told := s.ask(ctx, req); told {
+		return c, err
+	}
+	return s.store.Watch(ctx, prefix, from, wait)
+}
+
+// ask asks the relays in turn; told is false when none can tell, or this VM is a
+// relay itself.
+func (s *Service) ask(ctx context.Context, req *swpb.StoreRequest) (c platform.Changes, err error, told bool) {
+	for _, addr := range s.sources(time.Now()) {
+		reply, err := s.call(ctx, addr, req)
+		if ctx.Err() != nil {
+			return platform.Changes{}, ctx.Err(), true
+		}
+		switch {
+		case err == nil && reply.GetStatus() == swpb.StoreStatus_STORE_STATUS_OK:
+			return changes(reply), nil, true
+		case err == nil && reply.GetStatus() == swpb.StoreStatus_STORE_STATUS_COMPACTED:
+			return platform.Changes{}, platform.ErrCompacted, true
+		}
+		s.rest(addr, reply, err)
+	}
+	return platform.Changes{}, nil, false
+}
+
+func (s *Service) call(ctx context.Context, addr string, req *swpb.StoreRequest) (*swpb.StoreReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(req.GetWaitMs())*time.Millisecond+silentAfter)
+	defer cancel()
+	env := &swpb.Envelope{Body: &swpb.Envelope_StoreRequest{StoreRequest: req}}
+	reply, err := s.pool.Get(addr).Call(ctx, env)
+	if err != nil {
+		return nil, err
+	}
+	return reply.GetStoreReply(), nil
+}
+
+// sources returns the relays to ask now.
+func (s *Service) sources(now time.Time) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.direct {
+		return nil
+	}
+	var out []string
+	for _, addr := range s.relays {
+		if now.After(s.resting[addr]) {
+			out = append(out, addr)
+		}
+	}
+	return out
+}
+
+func (s *Service) rest(addr string, reply *swpb.StoreReply, err error) {
+	s.log.Info().Str("kind", "relay").Str("relay", addr).Stringer("status", reply.GetStatus()).AnErr("cause", err).Msg("relay can't tell; asking the next, or the store")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.resting[addr] = time.Now().Add(restAfter)
+}
+
+// handle answers another VM, if this one reads the store itself: a chain of
+// relays would tell old news.
+func (s *Service) handle(ctx context.Context, _ peer.Identity, env *swpb.Envelope) (*swpb.Envelope, error) {
+	req := env.GetStoreRequest()
+	s.mu.Lock()
+	m, direct := s.mirrors[req.GetPrefix()], s.direct
+	s.mu.Unlock()
+	reply := &swpb.StoreReply{Status: swpb.StoreStatus_STORE_STATUS_NO_RELAY}
+	if m != nil && direct {
+		reply = answer(ctx, m, req)
+	}
+	return &swpb.Envelope{Body: &swpb.Envelope_StoreReply{StoreReply: reply}}, nil
+}
+
+func answer(ctx context.Context, m *Mirror, req *swpb.StoreRequest) *swpb.StoreReply {
+	var c platform.Changes
+	var err error
+	if req.GetSnapshot() {
+		c, err = m.Snapshot(ctx, req.GetPrefix())
+	} else {
+		c, err = m.Watch(ctx, req.GetPrefix(), req.GetAfter(), time.Duration(req.GetWaitMs())*time.Millisecond)
+	}
+	switch {
+	case errors.Is(err, platform.ErrCompacted):
+		return &swpb.StoreReply{Status: swpb.StoreStatus_STORE_STATUS_COMPACTED}
+	case err != nil:
+		return &swpb.StoreReply{Status: swpb.StoreStatus_STORE_STATUS_NO_RELAY}
+	}
+	reply := &swpb.StoreReply{Status: swpb.StoreStatus_STORE_STATUS_OK, Revision: c.Revision}
+	for _, e := range c.Entries {
+		reply.Entries = append(reply.Entries, &swpb.StoreEntry{Key: e.Key, Value: e.Value, Revision: e.Revision, Deleted: e.Deleted})
+	}
+	return reply
+}
+
+func changes(r *swpb.StoreReply) platform.Changes {
+	out := platform.Changes{Revision: r.GetRevision()}
+	for _, e := range r.GetEntries() {
+		out.Entries = append(out.Entries, platform.Entry{Key: e.GetKey(), Value: e.GetValue(), Revision: e.GetRevision(), Deleted: e.GetDeleted()})
+	}
+	return out
+}
