Relays must know that the store still answers them

Change: while a watch waits, a relay makes the cheapest read each second (other VMs each 5 s); when it fails the watch is cut, and the relay says that it can't tell. Change: the first watch at the store after a relay doesn't wait, so the store says that history is gone. Ruled out: relays' own reading (all six had revision 7 within 2 s). Also: hedges after the 95th percentile in place of the 90th, and logs of second attempts with the evidence on both replicas; measured next.

--- a/internal/decide/placement/replica.go
+++ b/internal/decide/placement/replica.go
@@ -128,8 +128,24 @@
 	r.running, r.waiting, r.loadAt = running, waiting, now
 }
 
-// Outstanding is the number of attempts without an answer.
-func (r *Replica) Outstanding() int { return len(r.sent) }
+// Evidence is what is known of a replica at one moment, for logs.
+type Evidence struct {
+	Speed       float64       // latency over the usual
+	Failing     float64       // share of attempts that fail or are rejected
+	Outstanding int           // attempts without an answer
+	Silence     time.Duration // since it last answered, while it owes an answer
+	Load        int           // requests that it last told to have
+	LoadAge     time.Duration
+}
+
+// Evidence returns what is known now.
+func (r *Replica) Evidence(now time.Time) Evidence {
+	e := Evidence{Speed: r.speed, Failing: r.failingNow(now), Outstanding: len(r.sent), Silence: r.Silence(now), Load: r.running + r.waiting}
+	if !r.loadAt.IsZero() {
+		e.LoadAge = now.Sub(r.loadAt)
+	}
+	return e
+}
 
 // Silence is how long the replica has owed an answer without giving any; 0 if
 // it owes none.
--- a/internal/decide/retry/shared.go
+++ b/internal/decide/retry/shared.go
@@ -46,6 +46,12 @@
 // TakeHedge takes one extra send for a part that is late.
 func (s *Shared) TakeHedge(now time.Time) bool { return s.take(now, hedgeShare) }
 
+// Used returns the extra sends of the window and how many it allows now.
+func (s *Shared) Used(now time.Time) (used int, allowed float64) {
+	s.slide(now)
+	return s.sums[1], s.share*float64(s.sums[0]) + s.slack
+}
+
 // Return gives back an extra send that did not reach its replica. One that has
 // left the window is forgotten already.
 func (s *Shared) Return(now, sentAt time.Time) {
--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -40,9 +40,7 @@
 	r := c.choose(now, p, send.Part)
 	if r == nil || !affordable(now, p, send.Extra) {
 		c.machine.Unsendable(send)
-		s.metrics.add("unsent_"+send.Extra.String(), 1)
-		s.log.Info("unsent").Str("id", c.req.ID).Str("pool", c.pools[send.Part]).Stringer("extra", send.Extra).
-			Bool("replica", r != nil).Msg("attempt not sent: no replica left, or no budget for extra sends")
+		s.unsent(c, p, r, send, now)
 		return nil
 	}
 	a := &attempt{call: c, part: send.Part, extra: send.Extra, replica: r}
@@ -56,9 +54,7 @@
 	c.inFlight = append(c.inFlight, a)
 	c.sends[send.Extra]++
 	if send.Extra != gather.First {
-		s.metrics.add("sent_"+send.Extra.String(), 1)
-		s.log.Info("resend").Str("id", c.req.ID).Str("pool", c.pools[send.Part]).Stringer("extra", send.Extra).
-			Str("upstream", r.belief.ID).Strs("tried", c.tried[send.Part]).Dur("age", now.Sub(c.req.Arrived)).Msg("part sent again")
+		s.resent(c, r, send, now)
 	}
 	return a
 }
--- a/internal/direct/log.go
+++ b/internal/direct/log.go
@@ -1,8 +1,11 @@
 package direct
 
 import (
+	"strings"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/sapphirewall/sapphirewall/internal/decide/gather"
 	"github.com/sapphirewall/sapphirewall/internal/verdict"
 )
@@ -18,6 +21,39 @@
 	e.Msg("request refused, not run")
 }
 
+// unsent logs that a decided attempt was not made. s.mu is held.
+func (s *Service) unsent(c *call, p *pool, r *replica, send gather.Send, now time.Time) {
+	s.metrics.add("unsent_"+send.Extra.String(), 1)
+	used, allowed := p.extra.Used(now)
+	why := "no budget for extra sends"
+	if r == nil {
+		why = "no replica left"
+	}
+	s.log.Info("unsent").Str("id", c.req.ID).Str("pool", c.pools[send.Part]).Stringer("extra", send.Extra).Str("why", why).
+		Strs("tried", c.tried[send.Part]).Int("extra_used", used).Float64("extra_allowed", allowed).Msg("attempt not sent")
+}
+
+// resent logs a second attempt, with what is known of the replica that is late
+// or has failed and of the one that is asked now. s.mu is held.
+func (s *Service) resent(c *call, r *replica, send gather.Send, now time.Time) {
+	s.metrics.add("sent_"+send.Extra.String(), 1)
+	tried := c.tried[send.Part]
+	e := s.log.Info("resend").Str("id", c.req.ID).Str("pool", c.pools[send.Part]).Stringer("extra", send.Extra).
+		Strs("tried", tried).Dur("age", now.Sub(c.req.Arrived)).Dur("usual", c.usual).Dur("hedge_after", c.hedgeAfter)
+	if len(tried) > 1 {
+		if before := s.replicas[tried[len(tried)-2]]; before != nil {
+			e = e.Dict("before", evidence(before, now))
+		}
+	}
+	e.Dict("now", evidence(r, now)).Msg("part sent again")
+}
+
+func evidence(r *replica, now time.Time) *zerolog.Event {
+	ev := r.evidence.Evidence(now)
+	return zerolog.Dict().Str("upstream", r.belief.ID).Float64("speed", ev.Speed).Float64("failing", ev.Failing).
+		Int("outstanding", ev.Outstanding).Dur("silence", ev.Silence).Int("load", ev.Load).Dur("load_age", ev.LoadAge)
+}
+
 // ended logs the end of a call.
 func (s *Service) ended(c *call, a *Answer) {
 	took := time.Since(c.req.Arrived)
@@ -42,12 +78,12 @@
 	e.Msg("request ended")
 }
 
-// missing lists the pools whose part isn't in.
+// missing lists the pools whose part isn't in, each with the replicas asked.
 func (c *call) missing() []string {
 	var out []string
 	for i, p := range c.parts {
 		if p == nil {
-			out = append(out, c.pools[i])
+			out = append(out, c.pools[i]+": "+strings.Join(c.tried[i], " "))
 		}
 	}
 	return out
--- a/internal/direct/options.go
+++ b/internal/direct/options.go
@@ -45,7 +45,7 @@
 	leastBudget = 5 * time.Millisecond
 	// hedgeQuantile is the quantile of a route's latency after which a part is
 	// late, and hedgeStretch the multiple of it that is waited for.
-	hedgeQuantile = 0.9
+	hedgeQuantile = 0.95
 	hedgeStretch  = 1.15
 	// hedgeLatest bounds the wait before a hedge, as a share of the objective,
 	// so that the hedge has the greater part for itself.
--- a/internal/direct/serve.go
+++ b/internal/direct/serve.go
@@ -33,6 +33,7 @@
 
 	deadline    time.Time
 	answerBy    time.Time // just before the objective
+	hedgeAfter  time.Duration
 	fingerprint uint64
 	results     chan *attempt
 	parts       []*link.Reply // by part; nil: not in
@@ -151,14 +152,14 @@
 	if objective <= 0 {
 		objective = c.route.Deadline
 	}
-	hedgeAfter := time.Duration(hedgeLatest * float64(objective))
+	c.hedgeAfter = time.Duration(hedgeLatest * float64(objective))
 	if late, ok := c.stats.late.Value(); ok {
-		hedgeAfter = min(hedgeAfter, time.Duration(hedgeStretch*float64(late)))
+		c.hedgeAfter = min(c.hedgeAfter, time.Duration(hedgeStretch*float64(late)))
 	}
 	c.answerBy = c.req.Arrived.Add(objective - answerMargin)
 	c.machine = gather.New(gather.Config{
 		Parts: n, Need: c.need(), Attempts: attempts, Idempotent: c.route.Idempotent,
-		AnswerBy: c.answerBy, Deadline: c.deadline, HedgeAfter: hedgeAfter,
+		AnswerBy: c.answerBy, Deadline: c.deadline, HedgeAfter: c.hedgeAfter,
 	})
 	c.results = make(chan *attempt, n*(attempts+maxResends))
 	c.parts = make([]*link.Reply, n)
--- a/internal/storerelay/relay_test.go
+++ b/internal/storerelay/relay_test.go
@@ -29,11 +29,13 @@
 	value    string
 	watches  map[string]int
 	cut      map[string]bool
+	silent   map[string]bool // VMs whose watches hear nothing
+	deaf     bool            // the history is gone: a watch that waits hears nothing
 	changed  chan struct{}
 }
 
 func newStore() *store {
-	return &store{revision: 1, value: "1", watches: map[string]int{}, cut: map[string]bool{}, changed: make(chan struct{})}
+	return &store{revision: 1, value: "1", watches: map[string]int{}, cut: map[string]bool{}, silent: map[string]bool{}, changed: make(chan struct{})}
 }
 
 func (s *store) set(value string) {
@@ -68,6 +70,16 @@
 	return s.now(), nil
 }
 
+// Probe fails for a VM that is cut, or that the store has stopped answering.
+func (s seenBy) Probe(context.Context) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.cut[s.vm] || s.silent[s.vm] {
+		return platform.ErrUnavailable
+	}
+	return nil
+}
+
 func (s seenBy) now() platform.Changes {
 	return platform.Changes{Revision: s.revision, Entries: []platform.Entry{{Key: "k", Value: []byte(s.value), Revision: s.revision}}}
 }
@@ -85,7 +97,12 @@
 		switch {
 		case cut:
 			return platform.Changes{}, platform.ErrUnavailable
-		case c.Revision > from:
+		case s.isSilent():
+			<-ctx.Done()
+			return platform.Changes{}, ctx.Err()
+		case s.isDeaf() && wait <= time.Millisecond && c.Revision > from:
+			return platform.Changes{}, platform.ErrCompacted
+		case c.Revision > from && !s.isDeaf():
 			return c, nil
 		}
 		select {
@@ -98,6 +115,18 @@
 	}
 }
 
+func (s seenBy) isDeaf() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.deaf
+}
+
+func (s seenBy) isSilent() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.silent[s.vm]
+}
+
 // vm is one VM with its watch.
 type vm struct {
 	storerelay.Node
@@ -217,6 +246,58 @@
 		expectAll(others, "2", 3*time.Second)
 	})
 
+	// The store may stop answering some VMs, relays among them, without a word
+	// (grown trouble-1 of ommeren).
+	It("learns of a change within four seconds when the store is silent to its relays", func() {
+		st := newStore()
+		vms := zone(st, 8)
+		expectAll(vms, "1", 5*time.Second)
+		time.Sleep(500 * time.Millisecond)
+		relays := map[string]bool{}
+		st.mu.Lock()
+		for name := range st.watches {
+			relays[name] = true
+			st.silent[name] = true
+		}
+		st.mu.Unlock()
+		st.set("2")
+		var others []*vm
+		for _, v := range vms {
+			if !relays[v.Name] {
+				others = append(others, v)
+			}
+		}
+		Expect(others).NotTo(BeEmpty())
+		expectAll(others, "2", 4*time.Second)
+	})
+
+	// A watch that waits at the store hears nothing of a change that was made
+	// before it began and whose history is gone (grown scale-1 of ishikari).
+	It("asks the store without waiting when its relays have just lost it", func() {
+		st := newStore()
+		vms := zone(st, 8)
+		expectAll(vms, "1", 5*time.Second)
+		time.Sleep(500 * time.Millisecond)
+		var others []*vm
+		relays := map[string]bool{}
+		for _, name := range st.watchers() {
+			relays[name] = true
+		}
+		st.mu.Lock()
+		st.deaf, st.value = true, "2"
+		st.revision++
+		st.mu.Unlock()
+		for name := range relays {
+			st.disconnect(name, true)
+		}
+		for _, v := range vms {
+			if !relays[v.Name] {
+				others = append(others, v)
+			}
+		}
+		expectAll(others, "2", 3*time.Second)
+	})
+
 	It("learns of a change within three seconds when a relay is gone", func() {
 		st := newStore()
 		vms := zone(st, 8)
--- a/internal/storerelay/service.go
+++ b/internal/storerelay/service.go
@@ -36,6 +36,17 @@
 	// silentAfter is when a relay that brings no byte is given up, a third of
 	// the time in which changes are due.
 	silentAfter = 1200 * time.Millisecond
+	// firstWait is the wait of the first watch at the store after the relays
+	// could not tell: one that waits may hear nothing of changes that were made
+	// before it began and whose history is gone, one that returns tells so.
+	firstWait = time.Millisecond
+	// probeRelay and probeOthers are the times between two probes of the store:
+	// a relay that the store has stopped answering must find out within a part
+	// of the time in which changes are due, since others rely on it.
+	probeRelay  = time.Second
+	probeOthers = 5 * time.Second
+	// probeTimeout is far above what a slow store takes for a read.
+	probeTimeout = 800 * time.Millisecond
 	// restAfter is how long a relay that could not tell is left alone.
 	restAfter = 3 * time.Second
 )
@@ -47,9 +58,16 @@
 	Addr string // of its relay service, IP:port
 }
 
+// Store is what a relay uses of the platform's store.
+type Store interface {
+	platform.Watcher
+	// Probe makes the cheapest read there is.
+	Probe(ctx context.Context) error
+}
+
 // Service is a platform.Watcher for the process, and answers other VMs.
 type Service struct {
-	store platform.Watcher
+	store Store
 	self  Node
 	pool  *peer.Pool
 	opts  peer.Options
@@ -60,19 +78,24 @@
 	direct  bool     // this VM reads the store
 	relays  []string // addresses of the relays to ask, if it doesn't
 	resting map[string]time.Time
+	byRelay map[string]bool // by prefix: its last news came from a relay
+	zoneBig bool            // other VMs rely on this one if it is direct
+	probing sync.Mutex      // held during a probe; taken before mu
+	probed  time.Time
+	healthy error         // of the last probe
 	known   chan struct{} // closed once the VMs are known
 	server  *peer.Server
 }
 
 // New returns the relay service of a VM of a fleet.
-func New(store platform.Watcher, fleet string, self Node, log zerolog.Logger) *Service {
+func New(store Store, fleet string, self Node, log zerolog.Logger) *Service {
 	o := peer.Options{
 		Self:  peer.Identity{Fleet: fleet, Node: self.Name, Zone: self.Zone, Role: peer.RoleControl, Incarnation: uint64(time.Now().UnixNano())},
 		Lanes: 1, SilentAfter: silentAfter,
 	}
 	return &Service{
 		store: store, self: self, opts: o, pool: peer.NewPool(o), log: log,
-		mirrors: map[string]*Mirror{}, direct: true, resting: map[string]time.Time{}, known: make(chan struct{}),
+		mirrors: map[string]*Mirror{}, direct: true, resting: map[string]time.Time{}, byRelay: map[string]bool{}, known: make(chan struct{}),
 	}
 }
 
@@ -134,7 +157,7 @@
 	if route.Platform != s.direct || len(relays) != len(s.relays) {
 		s.log.Info().Str("kind", "relay").Bool("direct", route.Platform).Strs("relays", relays).Int("zone_vms", len(cands)).Msg("source of the store's changes")
 	}
-	s.direct, s.relays = route.Platform, relays
+	s.direct, s.relays, s.zoneBig = route.Platform, relays, len(cands) >= leastZone
 	select {
 	case <-s.known:
 	default:
@@ -149,8 +172,10 @@
 func (s *Service) Snapshot(ctx context.Context, prefix string) (platform.Changes, error) {
 	req := &swpb.StoreRequest{Prefix: prefix, Snapshot: true}
 	if c, err, told := s.ask(ctx, req); told {
+		s.came(prefix, true)
 		return c, err
 	}
+	s.came(prefix, false)
 	return s.store.Snapshot(ctx, prefix)
 }
 
@@ -158,11 +183,56 @@
 func (s *Service) Watch(ctx context.Context, prefix string, from uint64, wait time.Duration) (platform.Changes, error) {
 	req := &swpb.StoreRequest{Prefix: prefix, After: from, WaitMs: uint32(min(wait, relayWait).Milliseconds())}
 	if c, err, told := s.ask(ctx, req); told {
+		s.came(prefix, true)
 		return c, err
 	}
+	if s.came(prefix, false) {
+		wait = min(wait, firstWait)
+	}
 	return s.store.Watch(ctx, prefix, from, wait)
 }
 
+// ProbeEvery implements storewatch.Prober.
+func (s *Service) ProbeEvery() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.direct && s.zoneBig {
+		return probeRelay
+	}
+	return probeOthers
+}
+
+// Probe implements storewatch.Prober. The watches of all prefixes share the
+// probes; one that hears of a relay needs none.
+func (s *Service) Probe(ctx context.Context, prefix string) error {
+	every := s.ProbeEvery()
+	s.mu.Lock()
+	byRelay := s.byRelay[prefix]
+	s.mu.Unlock()
+	if byRelay {
+		return nil
+	}
+	s.probing.Lock()
+	defer s.probing.Unlock()
+	if time.Since(s.probed) < every/2 {
+		return s.healthy
+	}
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	s.healthy, s.probed = s.store.Probe(ctx), time.Now()
+	return s.healthy
+}
+
+// came notes where the news of a prefix last came from, and reports whether they
+// come from the store now and came from a relay before.
+func (s *Service) came(prefix string, byRelay bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	before := s.byRelay[prefix]
+	s.byRelay[prefix] = byRelay
+	return before && !byRelay
+}
+
 // ask asks the relays in turn; told is false when none can tell, or this VM is a
 // relay itself.
 func (s *Service) ask(ctx context.Context, req *swpb.StoreRequest) (c platform.Changes, err error, told bool) {
--- a/internal/storewatch/watch.go
+++ b/internal/storewatch/watch.go
@@ -46,6 +46,16 @@
 	Back()
 }
 
+// Prober is a store that can be asked cheaply whether it answers this VM. A
+// watch that waits can't tell a store without changes from one that has stopped
+// answering, which may go on while others are served.
+type Prober interface {
+	// Probe asks for the watch of a prefix.
+	Probe(ctx context.Context, prefix string) error
+	// ProbeEvery is the time between two probes.
+	ProbeEvery() time.Duration
+}
+
 // Watch follows one prefix.
 type Watch struct {
 	store   platform.Watcher
@@ -101,7 +111,7 @@
 	if w.away {
 		patience = time.Millisecond // tells at once whether the store is back
 	}
-	c, err := w.store.Watch(ctx, w.prefix, w.revision, patience)
+	c, err := w.watch(ctx, patience)
 	if errors.Is(err, platform.ErrCompacted) {
 		w.log.Info().Str("prefix", w.prefix).Uint64("revision", w.revision).Msg("the store has dropped the history since; reading all keys again")
 		return true, w.read(ctx)
@@ -117,6 +127,28 @@
 	return len(c.Entries) > 0, nil
 }
 
+// watch makes one watch call, and cuts it short when a probe beside it fails.
+func (w *Watch) watch(ctx context.Context, patience time.Duration) (platform.Changes, error) {
+	prober, ok := w.store.(Prober)
+	if !ok {
+		return w.store.Watch(ctx, w.prefix, w.revision, patience)
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	go func() {
+		for sleep(ctx, prober.ProbeEvery()) {
+			if err := prober.Probe(ctx, w.prefix); err != nil && ctx.Err() == nil {
+				cancel(err)
+			}
+		}
+	}()
+	c, err := w.store.Watch(ctx, w.prefix, w.revision, patience)
+	if cause := context.Cause(ctx); cause != nil && err != nil {
+		err = cause
+	}
+	return c, err
+}
+
 func (w *Watch) read(ctx context.Context) error {
 	c, err := w.store.Snapshot(ctx, w.prefix)
 	if err != nil {
@@ -144,11 +176,14 @@
 	w.handler.Back()
 }
 
-func sleep(ctx context.Context, d time.Duration) {
+// sleep returns true after d, or false when ctx ends before.
+func sleep(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
 	case <-t.C:
+		return true
 	case <-ctx.Done():
+		return false
 	}
 }
