--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -72,7 +72,8 @@
 }
 
 // New returns the roster of a VM; tell is called with all VMs, this one among
-// them, whenever they have been counted.
+// them, whenever they have been counted, and once with none if the store can't
+// be reached at the start.
 func New(store Store, prefix string, self Node, tell func(nodes []Node), log zerolog.Logger) *Service {
 	return &Service{store: store, prefix: prefix, self: self, tell: tell, log: log, nodes: map[string]Node{}, seen: map[string]time.Time{}}
 }
@@ -104,7 +105,11 @@
 func (s *Service) run(ctx context.Context) {
 	// A VM that is back finds the others at once; those that start together
 	// find each other at the next count.
-	s.report("count", s.count(ctx, time.Now()))
+	err := s.count(ctx, time.Now())
+	s.report("count", err)
+	if err != nil {
+		s.tell(nil) // nobody need wait for what can't be known now
+	}
 	s.report("enter", s.enter(ctx))
 	renew := time.NewTicker(renewEvery)
 	defer renew.Stop()
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -100,9 +100,12 @@
 		Expect(nodes).To(ConsistOf(self))
 	})
 
-	It("tells nothing while the store is down, and enters once it is back", func() {
+	It("tells that nobody is known while the store is down, and enters once it is back", func() {
 		st := &store{down: true}
 		told := start(st)
+		// Those who wait for the others learn at once that they needn't: a VM
+		// that started while the store was down began 2 s late to read it.
+		Eventually(told, "500ms").Should(Receive(BeEmpty()))
 		Consistently(told, "2s").ShouldNot(Receive())
 		st.mu.Lock()
 		st.down = false
