Guess the usual latency at the start, drop idle connections beside a silent one

Cause: until 50 answers are seen the usual latency was taken for 0, so any silence of a replica counted against it; and a silent connection left idle ones of the same age to fail one by one. Change: 0.15 of the objective until it is learned; DropIdle when a connection was given up for silence.

--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -44,7 +44,7 @@
 		return nil
 	}
 	a := &attempt{call: c, part: send.Part, extra: send.Extra, replica: r}
-	a.flight = link.Flight{Request: &c.req.Request, Deadline: c.flightDeadline(send.Extra), SentAt: now, Idempotent: c.route.Idempotent, Done: func(*link.Flight) { a.done() }}
+	a.flight = link.Flight{Request: &c.req.Request, Deadline: c.flightDeadline(send.Extra), SentAt: now, Done: func(*link.Flight) { a.done() }}
 	r.evidence.Sent(now)
 	if _, bounded := s.coldRate(&r.belief, now); bounded {
 		r.cold.Count(now)
@@ -146,6 +146,10 @@
 		ev.Failed(now, f.SentAt)
 		s.metrics.add("attempt_"+string(f.Err.Cause), 1)
 	}
+	if f.Err != nil && f.Err.Cause == verdict.ConnectionSilent {
+		// What lost this connection has lost the idle ones beside it too.
+		go a.replica.peer.DropIdle(f.SentAt)
+	}
 	if a.extra != gather.First && f.Reply == nil && f.Err.Outcome == verdict.NotRun {
 		s.poolOf(a.replica.belief.Pool).extra.Return(now, f.SentAt)
 	}
--- a/internal/direct/options.go
+++ b/internal/direct/options.go
@@ -50,6 +50,9 @@
 	// hedgeLatest bounds the wait before a hedge, as a share of the objective,
 	// so that the hedge has the greater part for itself.
 	hedgeLatest = 0.35
+	// usualGuess is the usual latency of an attempt, as a share of the objective,
+	// until it is learned: an objective leaves room for several.
+	usualGuess = 0.15
 	// leastLatency is the shortest latency that is learned.
 	leastLatency = time.Millisecond
 	// leftGrace is how long a replica may go on with a request whose caller has
--- a/internal/direct/serve.go
+++ b/internal/direct/serve.go
@@ -91,7 +91,7 @@
 	c.deadline = req.Arrived.Add(limit)
 	c.pools = s.poolsFor(route)
 	c.stats = s.statsOf(route.Name)
-	c.usual, _ = c.stats.usual.Value()
+	c.usual = c.usualLatency()
 	c.prepare()
 	if n, need := s.servable(c), c.need(); n < need {
 		return c, verdict.Newf(verdict.NotRun, verdict.NoReplica, "%d of %d parts have a replica, %d are needed", n, len(c.pools), need).After(retryNoReplica)
@@ -118,6 +118,23 @@
 	return route.Pools[:1]
 }
 
+// usualLatency is the typical latency of an attempt, or a guess from the
+// objective until it is learned.
+func (c *call) usualLatency() time.Duration {
+	if usual, ok := c.stats.usual.Value(); ok {
+		return usual
+	}
+	return time.Duration(usualGuess * float64(c.objective()))
+}
+
+// objective is the latency within which an answer is worth most.
+func (c *call) objective() time.Duration {
+	if c.route.Objective > 0 {
+		return c.route.Objective
+	}
+	return c.route.Deadline
+}
+
 // need is the number of parts without which there is no answer.
 func (c *call) need() int {
 	if c.route.Kind != tables.Query {
@@ -148,10 +165,7 @@
 	if attempts <= 0 {
 		attempts = 2
 	}
-	objective := c.route.Objective
-	if objective <= 0 {
-		objective = c.route.Deadline
-	}
+	objective := c.objective()
 	c.hedgeAfter = time.Duration(hedgeLatest * float64(objective))
 	if late, ok := c.stats.late.Value(); ok {
 		c.hedgeAfter = min(c.hedgeAfter, time.Duration(hedgeStretch*float64(late)))
--- a/internal/link/flight.go
+++ b/internal/link/flight.go
@@ -58,10 +58,9 @@
 
 // Flight is one attempt of a request at one replica.
 type Flight struct {
-	Request    *Request
-	Deadline   time.Time // the replica gets what is left of it as its budget
-	SentAt     time.Time // set by the owner; tells flights of one part apart
-	Idempotent bool
+	Request  *Request
+	Deadline time.Time // the replica gets what is left of it as its budget
+	SentAt   time.Time // set by the owner; tells flights of one part apart
 	// Done takes the end of the flight. It runs on a goroutine of the link and
 	// must not block.
 	Done func(f *Flight)
@@ -70,8 +69,8 @@
 	Reply *Reply
 	Err   *verdict.Error
 
-	cutAt    time.Time // guarded by the peer's mutex: the connection is closed then
-	ended    bool      // guarded by the peer's mutex
-	conn     *conn     // guarded by the peer's mutex: nil while it waits
-	withdraw bool      // guarded by the peer's mutex
+	// Guarded by the peer's mutex:
+	cutAt time.Time // the connection is closed then; zero: never
+	ended bool
+	conn  *conn // nil while it waits
 }
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -232,6 +232,24 @@
 		Expect(ended(inHand).Err.Outcome).To(Equal(verdict.MayHaveRun))
 	})
 
+	It("drops the idle connections that are older than one that went silent", func() {
+		r := newReplica()
+		p := peer(r, 1)
+		_, done := send(p, "a")
+		r.next().answer("a ok\n")
+		ended(done)
+		p.DropIdle(time.Now().Add(-time.Hour))
+		_, done = send(p, "b")
+		r.next().answer("b ok\n")
+		ended(done)
+		Expect(r.conns.Load()).To(BeEquivalentTo(1))
+		p.DropIdle(time.Now().Add(time.Second))
+		_, done = send(p, "c")
+		r.next().answer("c ok\n")
+		ended(done)
+		Expect(r.conns.Load()).To(BeEquivalentTo(2))
+	})
+
 	It("refuses flights once it is closed, and lets one in hand finish", func() {
 		r := newReplica()
 		p := peer(r, 1)
--- a/internal/link/peer.go
+++ b/internal/link/peer.go
@@ -101,7 +101,6 @@
 // connection is closed, so that the replica stops working on it.
 func (p *Peer) Withdraw(f *Flight, after time.Duration) {
 	p.mu.Lock()
-	f.withdraw = true
 	if f.ended || f.conn != nil {
 		f.cutAt = time.Now().Add(after)
 		p.mu.Unlock()
@@ -198,13 +197,6 @@
 	}
 }
 
-// Busy reports whether a flight is in hand.
-func (p *Peer) Busy() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return len(p.waiting) > 0 || len(p.conns) > len(p.idle)
-}
-
 // takeIdle returns the connection that was used last, or nil. p.mu is held.
 func (p *Peer) takeIdle() *conn {
 	n := len(p.idle)
--- a/internal/storerelay/relay_test.go
+++ b/internal/storerelay/relay_test.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/sapphirewall/sapphirewall/internal/platform"
+	"github.com/sapphirewall/sapphirewall/internal/roster"
 	"github.com/sapphirewall/sapphirewall/internal/storerelay"
 	"github.com/sapphirewall/sapphirewall/internal/storewatch"
 )
@@ -129,7 +130,7 @@
 
 // vm is one VM with its watch.
 type vm struct {
-	storerelay.Node
+	roster.Node
 	service *storerelay.Service
 	mu      sync.Mutex
 	value   string
@@ -156,11 +157,11 @@
 // zone starts the VMs of a zone.
 func zone(st *store, n int) []*vm {
 	var vms []*vm
-	var nodes []storerelay.Node
+	var nodes []roster.Node
 	for i := range n {
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
-		v := &vm{Node: storerelay.Node{Name: fmt.Sprintf("vm-%d", i), Zone: "a", Addr: ln.Addr().String()}}
+		v := &vm{Node: roster.Node{Name: fmt.Sprintf("vm-%d", i), Zone: "a", Addr: ln.Addr().String()}}
 		Expect(ln.Close()).To(Succeed())
 		v.service = storerelay.New(seenBy{st, v.Name}, "fleet", v.Node, zerolog.New(GinkgoWriter))
 		Expect(v.service.Start(context.Background(), nil)).To(Succeed())
--- a/internal/storerelay/service.go
+++ b/internal/storerelay/service.go
@@ -15,6 +15,7 @@
 	"github.com/sapphirewall/sapphirewall/internal/kernel"
 	"github.com/sapphirewall/sapphirewall/internal/peer"
 	"github.com/sapphirewall/sapphirewall/internal/platform"
+	"github.com/sapphirewall/sapphirewall/internal/roster"
 	"github.com/sapphirewall/sapphirewall/internal/storewatch"
 	"github.com/sapphirewall/sapphirewall/proto/swpb"
 )
@@ -51,13 +52,6 @@
 	restAfter = 3 * time.Second
 )
 
-// Node is one VM that serves.
-type Node struct {
-	Name string
-	Zone string
-	Addr string // of its relay service, IP:port
-}
-
 // Store is what a relay uses of the platform's store.
 type Store interface {
 	platform.Watcher
@@ -68,7 +62,7 @@
 // Service is a platform.Watcher for the process, and answers other VMs.
 type Service struct {
 	store Store
-	self  Node
+	self  roster.Node
 	pool  *peer.Pool
 	opts  peer.Options
 	log   zerolog.Logger
@@ -88,7 +82,7 @@
 }
 
 // New returns the relay service of a VM of a fleet.
-func New(store Store, fleet string, self Node, log zerolog.Logger) *Service {
+func New(store Store, fleet string, self roster.Node, log zerolog.Logger) *Service {
 	o := peer.Options{
 		Self:  peer.Identity{Fleet: fleet, Node: self.Name, Zone: self.Zone, Role: peer.RoleControl, Incarnation: uint64(time.Now().UnixNano())},
 		Lanes: 1, SilentAfter: silentAfter,
@@ -135,7 +129,7 @@
 }
 
 // SetNodes takes the VMs that serve, this one among them.
-func (s *Service) SetNodes(nodes []Node) {
+func (s *Service) SetNodes(nodes []roster.Node) {
 	var cands []ownership.Candidate
 	addrs := map[string]string{}
 	for _, n := range nodes {
