Spread the times at which refused callers come back

Cause: every refusal advised the same second, so callers refused together came back together, and after a failure later than the objective leaves room for. Change: half to one and a half of 0.5 s (not ready), 1 s (no replica) and 0.3 s (replicas failed).

--- a/internal/direct/serve.go
+++ b/internal/direct/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -17,8 +18,17 @@
 const (
 	retryNotReady  = 500 * time.Millisecond // tables are read within about this time after a start
 	retryNoReplica = time.Second            // upstreams come back within seconds
+	// retryFailed is for a request whose replicas failed it: about the time in
+	// which others are found and paused ones go on.
+	retryFailed = 300 * time.Millisecond
 )
 
+// spread returns a time of half of d to one and a half, so that callers who were
+// refused together don't come back together.
+func spread(d time.Duration) time.Duration {
+	return d/2 + time.Duration(rand.Float64()*float64(d))
+}
+
 // call is one request in hand. Its goroutine owns it; results come over a
 // channel.
 type call struct {
@@ -71,7 +81,7 @@
 	defer s.mu.Unlock()
 	force := s.now
 	if force == nil || !s.listed {
-		return nil, verdict.New(verdict.NotRun, verdict.NotReady, "no tables in force yet").After(retryNotReady)
+		return nil, verdict.New(verdict.NotRun, verdict.NotReady, "no tables in force yet").After(spread(retryNotReady))
 	}
 	route := force.index.Find(req.Host, req.Path)
 	if route == nil {
@@ -86,7 +96,7 @@
 		limit = min(limit, req.Budget-budgetMargin)
 	}
 	if limit < leastBudget {
-		return c, verdict.Newf(verdict.NotRun, verdict.Deadline, "%d ms are too short for an answer", req.Budget.Milliseconds()).After(retryNotReady)
+		return c, verdict.Newf(verdict.NotRun, verdict.Deadline, "%d ms are too short for an answer", req.Budget.Milliseconds()).After(spread(retryNotReady))
 	}
 	c.deadline = req.Arrived.Add(limit)
 	c.pools = s.poolsFor(route)
@@ -94,7 +104,7 @@
 	c.usual = c.usualLatency()
 	c.prepare()
 	if n, need := s.servable(c), c.need(); n < need {
-		return c, verdict.Newf(verdict.NotRun, verdict.NoReplica, "%d of %d parts have a replica, %d are needed", n, len(c.pools), need).After(retryNoReplica)
+		return c, verdict.Newf(verdict.NotRun, verdict.NoReplica, "%d of %d parts have a replica, %d are needed", n, len(c.pools), need).After(spread(retryNoReplica))
 	}
 	return c, nil
 }
@@ -284,7 +294,7 @@
 	if c.machine.In() > 0 || len(c.inFlight) > 0 {
 		v.Outcome = verdict.MayHaveRun
 	}
-	return v.After(retryNoReplica)
+	return v.After(spread(retryFailed))
 }
 
 // fingerprint tells requests apart that ask for different things.
