--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -34,6 +34,26 @@
 		Entry("host name", "[entry]\nlisten = localhost:7000\n", "write IP:port"),
 	)
 
+	It("reads shares as percentages or numbers, factors and pairs", func() {
+		s, err := settings.Parse("sw.ini", []byte("[direct]\nretry-share = 0.25\ncold-overage = 1.5\nregions = a=north, b=south\n"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.Direct.RetryShare).To(Equal(0.25))
+		Expect(s.Direct.ColdOverage).To(Equal(1.5))
+		Expect(s.Direct.Regions).To(Equal(map[string]string{"a": "north", "b": "south"}))
+		s, err = settings.Parse("sw.ini", []byte("[direct]\nretry-share = 30%\n"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.Direct.RetryShare).To(BeNumerically("~", 0.3))
+	})
+
+	DescribeTable("refuses in [direct]", func(text, want string) {
+		_, err := settings.Parse("sw.ini", []byte("[direct]\n"+text+"\n"))
+		Expect(err).To(MatchError(ContainSubstring(want)))
+	},
+		Entry("regions", "regions = a", `sw.ini:2: [direct] regions: bad item "a"; write name=value`),
+		Entry("cold-overage", "cold-overage = much", "[direct] cold-overage: bad number"),
+		Entry("retry-share", "retry-share = 1.5", "[direct] retry-share"),
+	)
+
 	It("reports every problem at once", func() {
 		_, err := settings.Parse("sw.ini", []byte("[node]\ngrace = 30\n[log]\nlevel = loud\n"))
 		Expect(err).To(MatchError(And(ContainSubstring("grace"), ContainSubstring("level"))))
--- a/internal/verdict/verdict_test.go
+++ b/internal/verdict/verdict_test.go
@@ -53,3 +53,16 @@
 		Expect(p.RetryAfterMS).To(BeEquivalentTo(1100))
 	})
 })
+
+var _ = DescribeTable("HTTPStatus promises only what the outcome does", func(o verdict.Outcome, c verdict.Cause, want int) {
+	Expect(verdict.New(o, c, "").HTTPStatus()).To(Equal(want))
+},
+	Entry("not run, overload", verdict.NotRun, verdict.Overload, 429),
+	Entry("may have run, overload", verdict.MayHaveRun, verdict.Overload, 502),
+	Entry("not run, deadline", verdict.NotRun, verdict.Deadline, 503),
+	Entry("may have run, deadline", verdict.MayHaveRun, verdict.Deadline, 504),
+	Entry("not run, connection lost", verdict.NotRun, verdict.ConnectionLost, 503),
+	Entry("may have run, no replica", verdict.MayHaveRun, verdict.NoReplica, 502),
+	Entry("ran and failed", verdict.RanFailed, verdict.UpstreamError, 502),
+	Entry("unknown route", verdict.NotRun, verdict.UnknownRoute, 404),
+)
