Keep the status of the project's own refusals; the adapter alone maps outcomes to promises

sw-entry's refusals had changed status with the new mapping (for one, fewer shards covered than allowed: 503 -> 502). Its interface stays as docs/CALLERS.md has it.

--- a/internal/verdict/http.go
+++ b/internal/verdict/http.go
@@ -51,9 +51,9 @@
 	return http.StatusServiceUnavailable
 }
 
-// HTTPStatus returns the status of the refusal. Some statuses promise that the
-// request did not run and others promise nothing, so it follows the outcome
-// first and the cause second.
+// HTTPStatus returns a status for callers who take some statuses as a promise
+// that the request did not run: it follows the outcome first and the cause
+// second. Callers who read the problem document go by its verdict.
 func (e *Error) HTTPStatus() int {
 	status := e.Cause.Status()
 	promises := status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
@@ -75,7 +75,7 @@
 	return Problem{
 		Type:         "about:blank",
 		Title:        title,
-		Status:       e.HTTPStatus(),
+		Status:       e.Cause.Status(),
 		Detail:       e.Detail,
 		Verdict:      e.Outcome.String(),
 		Cause:        string(e.Cause),
