Give nothing back to the budget of extra sends; probe the store each second everywhere

Cause: what had ended as not sent was given back, and one VM sent 173 extra while its budget said 57. Ruled out: the number of VMs (8 in every count), a restart (none before 30 s). Which of the sends that were given back did arrive is not known. Change: nothing is given back. The window also follows the steady clock now: a jump of the time of day would have emptied it (found by reading). 2. Change: probes each second on every VM that reads the store. Specs: a node with dead replicas draws on its budget (40 sends against 13 before), a VM learns of a change within 3 s after a silence of 2.5 s (fails before).

--- a/internal/decide/retry/shared.go
+++ b/internal/decide/retry/shared.go
@@ -23,7 +23,8 @@
 	first [slots]int
 	extra [slots]int
 	sums  [2]int // of first and extra
-	step  int64  // the newest slot's number
+	begin time.Time
+	step  int64 // the newest slot's number, from begin
 }
 
 // NewShared returns a budget. share is the number of extra sends that a first
@@ -52,17 +53,6 @@
 	return s.sums[1], s.share*float64(s.sums[0]) + s.slack
 }
 
-// Return gives back an extra send that did not reach its replica. One that has
-// left the window is forgotten already.
-func (s *Shared) Return(now, sentAt time.Time) {
-	s.slide(now)
-	step := sentAt.UnixNano() / int64(Window/slots)
-	if s.step-step < slots && s.extra[step%slots] > 0 {
-		s.extra[step%slots]--
-		s.sums[1]--
-	}
-}
-
 // take takes one extra send if it keeps within a part of the budget.
 func (s *Shared) take(now time.Time, part float64) bool {
 	s.slide(now)
@@ -76,7 +66,12 @@
 
 // slide forgets what is older than the window.
 func (s *Shared) slide(now time.Time) {
-	step := now.UnixNano() / int64(Window/slots)
+	if s.begin.IsZero() {
+		s.begin = now
+	}
+	// The difference of two readings follows the steady clock: the time of day
+	// may jump by more than the window.
+	step := int64(now.Sub(s.begin) / (Window / slots))
 	for n := min(step-s.step, slots); n > 0; n-- {
 		s.step++
 		i := s.step % slots
--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -150,9 +150,6 @@
 		// What lost this connection has lost the idle ones beside it too.
 		go a.replica.peer.DropIdle(f.SentAt)
 	}
-	if a.extra != gather.First && f.Reply == nil && f.Err.Outcome == verdict.NotRun {
-		s.poolOf(a.replica.belief.Pool).extra.Return(now, f.SentAt)
-	}
 	if f.Reply != nil && f.Reply.HasLoad {
 		l := f.Reply.Load
 		ev.Loaded(now, l.Running, l.Waiting, l.Slots)
--- a/internal/storerelay/service.go
+++ b/internal/storerelay/service.go
@@ -41,11 +41,11 @@
 	// could not tell: one that waits may hear nothing of changes that were made
 	// before it began and whose history is gone, one that returns tells so.
 	firstWait = time.Millisecond
-	// probeRelay and probeOthers are the times between two probes of the store:
-	// a relay that the store has stopped answering must find out within a part
-	// of the time in which changes are due, since others rely on it.
-	probeRelay  = time.Second
-	probeOthers = 5 * time.Second
+	// probeEvery is the time between two probes of the store. A watch that was
+	// waiting when the store stopped answering stays dead when it answers again,
+	// so an outage must not fit between two probes: it has to be found out within
+	// a part of the time in which changes are due.
+	probeEvery = time.Second
 	// probeTimeout is far above what a slow store takes for a read.
 	probeTimeout = 800 * time.Millisecond
 	// restAfter is how long a relay that could not tell is left alone.
@@ -73,7 +73,6 @@
 	relays  []string // addresses of the relays to ask, if it doesn't
 	resting map[string]time.Time
 	byRelay map[string]bool // by prefix: its last news came from a relay
-	zoneBig bool            // other VMs rely on this one if it is direct
 	probing sync.Mutex      // held during a probe; taken before mu
 	probed  time.Time
 	healthy error         // of the last probe
@@ -151,7 +150,7 @@
 	if route.Platform != s.direct || len(relays) != len(s.relays) {
 		s.log.Info().Str("kind", "relay").Bool("direct", route.Platform).Strs("relays", relays).Int("zone_vms", len(cands)).Msg("source of the store's changes")
 	}
-	s.direct, s.relays, s.zoneBig = route.Platform, relays, len(cands) >= leastZone
+	s.direct, s.relays = route.Platform, relays
 	select {
 	case <-s.known:
 	default:
@@ -187,19 +186,11 @@
 }
 
 // ProbeEvery implements storewatch.Prober.
-func (s *Service) ProbeEvery() time.Duration {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.direct && s.zoneBig {
-		return probeRelay
-	}
-	return probeOthers
-}
+func (s *Service) ProbeEvery() time.Duration { return probeEvery }
 
 // Probe implements storewatch.Prober. The watches of all prefixes share the
 // probes; one that hears of a relay needs none.
 func (s *Service) Probe(ctx context.Context, prefix string) error {
-	every := s.ProbeEvery()
 	s.mu.Lock()
 	byRelay := s.byRelay[prefix]
 	s.mu.Unlock()
@@ -208,7 +199,7 @@
 	}
 	s.probing.Lock()
 	defer s.probing.Unlock()
-	if time.Since(s.probed) < every/2 {
+	if time.Since(s.probed) < probeEvery/2 {
 		return s.healthy
 	}
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
