End within the grace time, with a last word to each caller

Traced with a new line at the signal: told to stop at 32.13 s, powered off at 34.32 s, started again at 35.61 s; the process seen at 38.13 s is the new one. No fault of the stop. Found by reading meanwhile: the services shared the whole grace time, so that a caller whose replica is silent took the process to the very moment of SIGKILL, and its connection ended without an answer. Change: the kernel keeps 250 ms (at most a tenth) of the grace time; 400 ms before the end of what is left the front asks for the last word on what is in hand: an answer from the parts that are in, or a refusal with its verdict.

--- a/internal/direct/request.go
+++ b/internal/direct/request.go
@@ -14,6 +14,7 @@
 	Budget  time.Duration // how long the caller will wait; 0: it doesn't say
 	Arrived time.Time
 	Left    <-chan struct{} // closed when the caller has left
+	Ending  <-chan struct{} // closed when the process must end
 }
 
 // Answer is what the caller gets. Exactly one of Reply, Gathered and Refusal is
--- a/internal/direct/serve.go
+++ b/internal/direct/serve.go
@@ -209,10 +209,22 @@
 		case <-c.req.Left:
 			c.withdraw(leftGrace)
 			return &Answer{Refusal: verdict.New(verdict.MayHaveRun, verdict.Cancelled, "the caller has left")}
+		case <-c.req.Ending:
+			c.withdraw(leftGrace)
+			return c.lastWord()
 		}
 	}
 }
 
+// lastWord is the answer of a process that must end: what is in, if it is
+// enough.
+func (c *call) lastWord() *Answer {
+	if c.machine.In() >= c.need() {
+		return c.answer(gather.Answer)
+	}
+	return &Answer{Refusal: c.refusal(verdict.ShuttingDown, "the process must end")}
+}
+
 // takeAll takes the results that have come meanwhile.
 func (c *call) takeAll() {
 	for {
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -17,6 +17,7 @@
 	Response *fasthttp.Response
 	Arrived  time.Time       // when its last byte had been read
 	Left     <-chan struct{} // closed when the caller has left
+	Ending   <-chan struct{} // closed when the process must end: answer at once
 }
 
 // Handler answers a request. It returns once the answer is in x.Response.
@@ -47,6 +48,7 @@
 	limits   atomic.Pointer[Limits]
 	draining atomic.Bool
 	active   atomic.Int64 // requests read and not yet answered
+	ending   chan struct{}
 
 	mu    sync.Mutex // guards ln, conns and down
 	ln    net.Listener
@@ -56,7 +58,7 @@
 
 // New returns a server that isn't listening yet.
 func New(h Handler) *Server {
-	s := &Server{handler: h, conns: map[*conn]struct{}{}}
+	s := &Server{handler: h, conns: map[*conn]struct{}{}, ending: make(chan struct{})}
 	s.limits.Store(&DefaultLimits)
 	return s
 }
@@ -145,6 +147,9 @@
 	return nil
 }
 
+// End asks for an answer at once to everything in hand. It is called once.
+func (s *Server) End() { close(s.ending) }
+
 func (s *Server) open() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/front/service.go
+++ b/internal/front/service.go
@@ -19,8 +19,13 @@
 // balancer has noticed: it asks once a second and wants two misses.
 const noticeTime = 2500 * time.Millisecond
 
-// stopMargin is kept of the time for a stop, for what is left to do after it.
-const stopMargin = 400 * time.Millisecond
+// What is kept of the time for a stop: stopMargin for all that is left to do
+// once requests in hand are told to end, and of it lastMargin for the services
+// below.
+const (
+	stopMargin = 400 * time.Millisecond
+	lastMargin = 200 * time.Millisecond
+)
 
 // Service runs a Server in a kernel.
 type Service struct {
@@ -54,18 +59,31 @@
 func (s *Service) Start(context.Context, *kernel.Kernel) error { return s.Listen(s.addr) }
 
 // Stop implements kernel.Service: it asks callers to leave, waits until the
-// balancer sends no new ones, and answers what is in hand.
+// balancer sends no new ones, and answers what is in hand. What is not answered
+// shortly before ctx ends is asked for its last word.
 func (s *Service) Stop(ctx context.Context) error {
 	s.stopping.Store(true)
 	s.Drain()
-	if deadline, ok := ctx.Deadline(); ok {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithDeadline(ctx, deadline.Add(-stopMargin))
-		defer cancel()
-	}
+	patient, cancel := before(ctx, stopMargin)
+	defer cancel()
 	select {
 	case <-time.After(noticeTime):
-	case <-ctx.Done():
+	case <-patient.Done():
+	}
+	if s.Shutdown(patient) == nil {
+		return nil
+	}
+	s.End()
+	last, cancel := before(ctx, lastMargin)
+	defer cancel()
+	return s.Shutdown(last)
+}
+
+// before returns a context that ends a margin before the deadline of ctx, if it
+// has one.
+func before(ctx context.Context, margin time.Duration) (context.Context, context.CancelFunc) {
+	if deadline, ok := ctx.Deadline(); ok {
+		return context.WithDeadline(ctx, deadline.Add(-margin))
 	}
-	return s.Shutdown(ctx)
+	return context.WithCancel(ctx)
 }
--- a/internal/kernel/kernel.go
+++ b/internal/kernel/kernel.go
@@ -114,13 +114,18 @@
 	return errors.Join(errs...)
 }
 
+// exitReserve, at most a tenth of the grace, is left after the last service for
+// logs to be written and the process to end, before it is killed.
+const exitReserve = 250 * time.Millisecond
+
 // Run starts the services, waits until ctx ends, and stops them within grace.
 func (k *Kernel) Run(ctx context.Context, grace time.Duration) error {
 	if err := k.Start(context.WithoutCancel(ctx)); err != nil {
 		return err
 	}
 	<-ctx.Done()
-	stopCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), grace)
+	k.log.Info().Dur("grace", grace).Msg("stopping")
+	stopCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), grace-min(exitReserve, grace/10))
 	defer cancel()
 	return k.Stop(stopCtx)
 }
--- a/internal/kernel/kernel_test.go
+++ b/internal/kernel/kernel_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"testing"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -39,6 +40,19 @@
 	return nil
 }
 
+// patient is a service that stops as late as it may.
+type patient struct{}
+
+func (patient) Name() string                                { return "patient" }
+func (patient) Needs() []string                             { return nil }
+func (patient) Ready() error                                { return nil }
+func (patient) Start(context.Context, *kernel.Kernel) error { return nil }
+
+func (patient) Stop(ctx context.Context) error {
+	<-ctx.Done()
+	return nil
+}
+
 var _ = Describe("kernel", func() {
 	var trail []string
 	var k *kernel.Kernel
@@ -58,6 +72,15 @@
 		Expect(trail).To(Equal([]string{"start a", "start b", "stop b", "stop a"}))
 	})
 
+	It("leaves time of its grace for the end of the process", func() {
+		Expect(k.Register(patient{})).To(Succeed())
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		begin := time.Now()
+		Expect(k.Run(ctx, time.Second)).To(Succeed())
+		Expect(time.Since(begin)).To(BeNumerically("<", 950*time.Millisecond))
+	})
+
 	It("stops what had started when a service fails", func() {
 		broken := errors.New("broken")
 		add("a", nil)
