Keep no header fields of a part's answer

Of the node's 14 us a part (1 core, quiet machine) 0.75 of 2.15 s are the write call of the request, 0.25 the read call, 0.43 decoding the answer, of which 0.27 copying its header fields. The two system calls stay: each part has its own connection. Ruled out: the timers and goroutines of an attempt (none in the first 30 items). Change: an answer that is merged keeps only the fields that concern this hop; names are compared without copying them.

--- a/internal/direct/serve.go
+++ b/internal/direct/serve.go
@@ -102,6 +102,7 @@
 	c.pools = s.poolsFor(route)
 	c.stats = s.statsOf(route.Name)
 	c.usual = c.usualLatency()
+	req.BodyOnly = route.Merge == tables.MergeTop
 	c.prepare()
 	if n, need := s.servable(c), c.need(); n < need {
 		return c, verdict.Newf(verdict.NotRun, verdict.NoReplica, "%d of %d parts have a replica, %d are needed", n, len(c.pools), need).After(spread(retryNoReplica))
--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -83,7 +83,7 @@
 			c.fail(verdict.New(verdict.MayHaveRun, verdict.BadAnswer, "bytes that nobody asked for"))
 			return
 		}
-		reply, err := c.peer.codec.ReadReply(c.br)
+		reply, err := c.peer.codec.ReadReply(c.br, f.Request)
 		if err != nil {
 			c.fail(verdict.Newf(verdict.MayHaveRun, verdict.BadAnswer, "broken answer: %v", err))
 			return
--- a/internal/link/flight.go
+++ b/internal/link/flight.go
@@ -20,6 +20,9 @@
 	Target string // path and query as the caller wrote them
 	Header []Header
 	Body   []byte
+	// BodyOnly says that of an answer only the body is passed on, so that a
+	// codec need not keep its header fields.
+	BodyOnly bool
 }
 
 // Load is what a replica tells of itself.
@@ -52,8 +55,8 @@
 	// AppendRequest appends the request for the replica of an ID, which has
 	// budget left to answer.
 	AppendRequest(dst []byte, r *Request, replica string, budget time.Duration) []byte
-	// ReadReply reads one answer, to its end.
-	ReadReply(br *bufio.Reader) (*Reply, error)
+	// ReadReply reads one answer, to its end, while r is waited for.
+	ReadReply(br *bufio.Reader, r *Request) (*Reply, error)
 }
 
 // Flight is one attempt of a request at one replica.
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -30,7 +30,7 @@
 	return append(append(dst, r.ID...), '\n')
 }
 
-func (lineCodec) ReadReply(br *bufio.Reader) (*link.Reply, error) {
+func (lineCodec) ReadReply(br *bufio.Reader, _ *link.Request) (*link.Reply, error) {
 	line, err := br.ReadString('\n')
 	if err != nil {
 		return nil, err
