Trace requests and attempts of sw-node when sampled

One span for the request and one for each attempt, from the caller's traceparent or the ratio; nothing is made for a request that is not sampled.

--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -45,6 +45,7 @@
 	}
 	a := &attempt{call: c, part: send.Part, extra: send.Extra, replica: r}
 	a.flight = link.Flight{Request: &c.req.Request, Deadline: c.flightDeadline(send.Extra), SentAt: now, Done: func(*link.Flight) { a.done() }}
+	a.trace(send.Extra)
 	r.evidence.Sent(now)
 	if _, bounded := s.coldRate(&r.belief, now); bounded {
 		r.cold.Count(now)
@@ -110,6 +111,7 @@
 // call, if it still goes on.
 func (a *attempt) done() {
 	a.learn(time.Now())
+	a.endTrace()
 	a.call.results <- a
 }
 
--- a/internal/direct/serve.go
+++ b/internal/direct/serve.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"go.opentelemetry.io/otel/trace"
 
 	"github.com/sapphirewall/sapphirewall/internal/decide/gather"
 	"github.com/sapphirewall/sapphirewall/internal/link"
@@ -52,6 +53,7 @@
 	worst       *verdict.Error // of the attempts that brought nothing
 	failure     *link.Reply    // a replica's own failure
 	sends       [3]int         // by gather.Extra
+	span        trace.Span     // nil: not sampled
 }
 
 // attempt is one flight of a call.
@@ -61,17 +63,23 @@
 	extra   gather.Extra
 	replica *replica
 	flight  link.Flight
+	span    trace.Span // nil: not sampled
 }
 
 // Serve answers a request.
 func (s *Service) Serve(req *Request) *Answer {
+	span := s.trace(req)
 	c, refusal := s.begin(req)
 	if refusal != nil {
 		s.refused(req, c, refusal)
-		return &Answer{Refusal: refusal}
+		ans := &Answer{Refusal: refusal}
+		endTrace(span, nil, ans)
+		return ans
 	}
+	c.span = span
 	ans := c.run()
 	s.ended(c, ans)
+	endTrace(span, c, ans)
 	return ans
 }
 
--- a/internal/direct/service.go
+++ b/internal/direct/service.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"go.opentelemetry.io/otel/trace"
 
 	"github.com/sapphirewall/sapphirewall/internal/decide/discovery"
 	"github.com/sapphirewall/sapphirewall/internal/decide/poison"
@@ -38,6 +39,8 @@
 	opts    Options
 	log     *telemetry.Budgeted
 	metrics metrics
+	tracer  trace.Tracer // nil: none
+	extract func(context.Context, string) context.Context
 
 	mu        sync.Mutex // guards all below
 	now       *inForce   // nil: no tables yet
--- /dev/null
+++ b/internal/direct/spans.go
@@ -0,0 +1,78 @@
+package direct
+
+import (
+	"context"
+	"strings"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/codes"
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/sapphirewall/sapphirewall/internal/decide/gather"
+)
+
+// headerTraceparent is the caller's trace context (W3C Trace Context). It is
+// passed on to replicas as it came.
+const headerTraceparent = "traceparent"
+
+// Trace makes the service start spans: one for each request and one for each
+// attempt, if the request is sampled. It is called before the first request.
+func (s *Service) Trace(tracer trace.Tracer, extract func(context.Context, string) context.Context) {
+	s.tracer, s.extract = tracer, extract
+}
+
+// trace begins the span of a request. It does nothing without a tracer.
+func (s *Service) trace(req *Request) trace.Span {
+	if s.tracer == nil {
+		return nil
+	}
+	ctx := context.Background()
+	for _, h := range req.Header {
+		if strings.EqualFold(h.Name, headerTraceparent) {
+			ctx = s.extract(ctx, h.Value)
+		}
+	}
+	_, span := s.tracer.Start(ctx, "request", trace.WithTimestamp(req.Arrived))
+	if !span.IsRecording() {
+		return nil
+	}
+	span.SetAttributes(attribute.String("request.id", req.ID))
+	return span
+}
+
+// endTrace ends the span of a request with its answer.
+func endTrace(span trace.Span, c *call, a *Answer) {
+	if span == nil {
+		return
+	}
+	if c != nil {
+		span.SetAttributes(attribute.String("route", c.route.Name), attribute.Int("parts", len(c.pools)), attribute.Int("in", c.machine.In()))
+	}
+	if a.Refusal != nil {
+		span.SetStatus(codes.Error, string(a.Refusal.Cause))
+	}
+	span.End()
+}
+
+// trace begins the span of an attempt whose request is sampled.
+func (a *attempt) trace(e gather.Extra) {
+	c := a.call
+	if c.span == nil {
+		return
+	}
+	_, a.span = c.s.tracer.Start(trace.ContextWithSpan(context.Background(), c.span), "attempt", trace.WithTimestamp(a.flight.SentAt),
+		trace.WithAttributes(attribute.String("pool", c.pools[a.part]), attribute.String("upstream", a.replica.belief.ID), attribute.String("sent_as", e.String())))
+}
+
+// endTrace ends the span of an attempt with its outcome.
+func (a *attempt) endTrace() {
+	if a.span == nil {
+		return
+	}
+	if a.flight.Err != nil {
+		a.span.SetStatus(codes.Error, string(a.flight.Err.Cause))
+	} else {
+		a.span.SetAttributes(attribute.Int("status", a.flight.Reply.Status), attribute.Bool("not_run", a.flight.Reply.NotRun))
+	}
+	a.span.End()
+}
