Let a VM that has lost the store hear of one that has it

Ruled out: the VMs' time to read the store after its return (0.1 to 0.4 s), the budgets. Change: other VMs are asked, at a start without the store the seeds (role serves control); only VMs that the store itself has answered may tell; what all knew before an outage is taken at a start, with the list of VMs.

--- a/internal/settings/fields.go
+++ b/internal/settings/fields.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"net/netip"
 	"strconv"
 	"strings"
 	"time"
@@ -39,6 +40,7 @@
 	{"direct", "ready", "127.0.0.1:7031", "Address of sw-node that the balancer asks for readiness, IP:port.", addr(func(s *Settings) *string { return &s.Direct.Ready })},
 	{"direct", "admin", "127.0.0.1:7032", "Address of /vars, /metrics, /live and /ready of sw-node, IP:port.", addr(func(s *Settings) *string { return &s.Direct.Admin })},
 	{"direct", "relay", "127.0.0.1:7033", "Address of sw-node for other VMs that read the store through it, IP:port.", addr(func(s *Settings) *string { return &s.Direct.Relay })},
+	{"direct", "seeds", "", "Relay addresses of some VMs, to ask while the platform can't be reached at the start: IP:port, IP:port.", addrs(func(s *Settings) *[]string { return &s.Direct.Seeds })},
 	{"direct", "regions", "zone-1=region-1", "Region of each availability zone: zone=region, zone=region.", pairs(func(s *Settings) *map[string]string { return &s.Direct.Regions })},
 	{"direct", "cold-overage", "1", "Factor on the rate that a cold replica bears from all VMs.", factor(func(s *Settings) *float64 { return &s.Direct.ColdOverage })},
 	{"direct", "cold-slack", "0", "Requests a second that a cold replica bears from all VMs beside its rate.", number(0, maxSlack, func(s *Settings) *int { return &s.Direct.ColdSlack })},
@@ -72,6 +74,21 @@
 	return func(r *inifile.Reader, key, def string, s *Settings) { *at(s) = r.Addr(key, def) }
 }
 
+// addrs reads a list of addresses, which may be empty.
+func addrs(at func(*Settings) *[]string) readFunc {
+	return func(r *inifile.Reader, key, _ string, s *Settings) {
+		var out []string
+		for _, item := range r.List(key) {
+			if _, err := netip.ParseAddrPort(item); err != nil {
+				r.Fail(key, "bad address "+strconv.Quote(item), "write IP:port, IP:port")
+				return
+			}
+			out = append(out, item)
+		}
+		*at(s) = out
+	}
+}
+
 func choice(at func(*Settings) *string, options ...string) readFunc {
 	return func(r *inifile.Reader, key, def string, s *Settings) { *at(s) = r.OneOf(key, def, options...) }
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -67,6 +67,7 @@
 	Ready   string            // the balancer's question
 	Admin   string            // /vars, /metrics, /live and /ready
 	Relay   string            // other VMs
+	Seeds   []string          // relay addresses of other VMs
 	Regions map[string]string // availability zone to region, of all zones
 	// ColdOverage and ColdSlack widen the rate that a cold replica bears from
 	// all VMs: a factor and a number of requests.
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -49,6 +49,7 @@
 		_, err := settings.Parse("sw.ini", []byte("[direct]\n"+text+"\n"))
 		Expect(err).To(MatchError(ContainSubstring(want)))
 	},
+		Entry("seeds", "seeds = 10.0.0.1:80, vm-1:80", `sw.ini:2: [direct] seeds: bad address "vm-1:80"; write IP:port, IP:port`),
 		Entry("regions", "regions = a", `sw.ini:2: [direct] regions: bad item "a"; write name=value`),
 		Entry("cold-overage", "cold-overage = much", "[direct] cold-overage: bad number"),
 		Entry("retry-share", "retry-share = 1.5", "[direct] retry-share"),
--- a/internal/storerelay/mirror.go
+++ b/internal/storerelay/mirror.go
@@ -100,12 +100,25 @@
 	if m.away || m.revision == 0 {
 		return platform.Changes{}, platform.ErrUnavailable
 	}
+	return m.all(), nil
+}
+
+// Last returns all entries as they were last known, with revision 0 if they
+// never were.
+func (m *Mirror) Last() platform.Changes {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.all()
+}
+
+// all returns all entries. m.mu is held.
+func (m *Mirror) all() platform.Changes {
 	out := platform.Changes{Revision: m.revision, Entries: make([]platform.Entry, 0, len(m.entries))}
 	for _, e := range m.entries {
 		out.Entries = append(out.Entries, e)
 	}
 	sort.Slice(out.Entries, func(i, j int) bool { return out.Entries[i].Key < out.Entries[j].Key })
-	return out, nil
+	return out
 }
 
 // Watch returns the changes after a revision, once there are any or wait is
--- /dev/null
+++ b/internal/storerelay/neighbours.go
@@ -0,0 +1,215 @@
+package storerelay
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/sapphirewall/sapphirewall/internal/decide/ownership"
+	"github.com/sapphirewall/sapphirewall/internal/decide/relay"
+	"github.com/sapphirewall/sapphirewall/internal/platform"
+	"github.com/sapphirewall/sapphirewall/internal/roster"
+	"github.com/sapphirewall/sapphirewall/proto/swpb"
+)
+
+// The constants of asking neighbours, other VMs that may have the store while
+// this one has lost it.
+const (
+	// neighboursAsked at once make it likely that one has the store when a
+	// third of the VMs have lost it.
+	neighboursAsked = 3
+	// neighbourTimeout bounds a question without a wait: a few ways across
+	// regions and a new connection.
+	neighbourTimeout = 500 * time.Millisecond
+	// neighbourRest is the time between two questions that nobody could answer,
+	// as in an outage for all.
+	neighbourRest = 400 * time.Millisecond
+	// patience is how long a first reading waits for the store alone.
+	patience = 300 * time.Millisecond
+)
+
+// Seed gives the addresses of VMs to ask while none is known by name, IP:port.
+// It is called before Start.
+func (s *Service) Seed(addrs []string) { s.seeds = addrs }
+
+// Learned sets what is told the VMs that a neighbour knows, when this VM could
+// not count them itself. It is called before Start.
+func (s *Service) Learned(tell func([]roster.Node)) { s.learned = tell }
+
+// readers returns the addresses of the VMs but self that read the store
+// themselves.
+func readers(self string, nodes []roster.Node) []string {
+	zones := map[string][]ownership.Candidate{}
+	addrs := map[string]string{}
+	for _, n := range nodes {
+		if n.Addr != "" {
+			addrs[n.Name] = n.Addr
+			zones[n.Zone] = append(zones[n.Zone], ownership.Candidate{Node: n.Name, Zone: n.Zone})
+		}
+	}
+	var out []string
+	for zone, cands := range zones {
+		names := make([]string, 0, len(cands))
+		for _, c := range cands {
+			names = append(names, c.Node)
+		}
+		if len(cands) >= leastZone {
+			names = relay.Choose(zone, cands, relaysPerZone)
+		}
+		for _, name := range names {
+			if name != self {
+				out = append(out, addrs[name])
+			}
+		}
+	}
+	return out
+}
+
+// neighbours returns some VMs to ask, or none soon after nobody could answer.
+func (s *Service) neighbours(now time.Time) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if now.Sub(s.unanswered) < neighbourRest {
+		return nil
+	}
+	out := slices.Clone(s.readers)
+	if len(out) == 0 {
+		for _, addr := range s.seeds {
+			if addr != s.self.Addr {
+				out = append(out, addr)
+			}
+		}
+	}
+	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	return out[:min(neighboursAsked, len(out))]
+}
+
+// askNeighbours asks the neighbour that told last, and waits there for a change,
+// else several at once without waiting.
+func (s *Service) askNeighbours(ctx context.Context, req *swpb.StoreRequest) (c platform.Changes, err error, told bool) {
+	s.mu.Lock()
+	last := s.neighbour[req.GetPrefix()]
+	s.mu.Unlock()
+	if last != "" && !req.GetSnapshot() {
+		s.came(req.GetPrefix(), true) // so that no probe ends the wait
+		reply, err := s.call(ctx, last, req)
+		if err == nil && tells(reply) {
+			return take(reply)
+		}
+		s.came(req.GetPrefix(), false)
+		s.setNeighbour("", "lost", req.GetPrefix())
+		if ctx.Err() != nil {
+			return platform.Changes{}, ctx.Err(), false
+		}
+	}
+	addr, reply := s.survey(ctx, &swpb.StoreRequest{Prefix: req.GetPrefix(), Snapshot: req.GetSnapshot(), After: req.GetAfter(), Recall: req.GetRecall()})
+	if reply == nil {
+		return platform.Changes{}, nil, false
+	}
+	s.learn(reply.GetNodes())
+	if !tells(reply) {
+		s.mu.Lock()
+		s.recalled[req.GetPrefix()] = changes(reply)
+		s.mu.Unlock()
+		return platform.Changes{}, nil, false
+	}
+	s.setNeighbour(addr, "found", req.GetPrefix())
+	return take(reply)
+}
+
+// survey asks several neighbours at once. The first that has the store wins,
+// else the one that recalls the most.
+func (s *Service) survey(ctx context.Context, req *swpb.StoreRequest) (string, *swpb.StoreReply) {
+	addrs := s.neighbours(time.Now())
+	ctx, cancel := context.WithTimeout(ctx, neighbourTimeout)
+	defer cancel()
+	type answer struct {
+		addr  string
+		reply *swpb.StoreReply
+	}
+	answers := make(chan answer, len(addrs))
+	for _, addr := range addrs {
+		go func() {
+			reply, err := s.call(ctx, addr, req)
+			if err != nil {
+				s.log.Debug().Err(err).Str("neighbour", addr).Msg("neighbour can't be asked")
+			}
+			answers <- answer{addr, reply}
+		}()
+	}
+	var best answer
+	for range addrs {
+		a := <-answers
+		switch {
+		case tells(a.reply):
+			return a.addr, a.reply
+		case a.reply.GetStatus() == swpb.StoreStatus_STORE_STATUS_RECALLED && a.reply.GetRevision() > best.reply.GetRevision():
+			best = a
+		}
+	}
+	if len(addrs) > 0 {
+		s.mu.Lock()
+		s.unanswered = time.Now()
+		s.mu.Unlock()
+	}
+	return best.addr, best.reply
+}
+
+// tells reports whether a reply comes from a VM that has the store.
+func tells(r *swpb.StoreReply) bool {
+	return r.GetStatus() == swpb.StoreStatus_STORE_STATUS_OK || r.GetStatus() == swpb.StoreStatus_STORE_STATUS_COMPACTED
+}
+
+// take turns the reply of a neighbour that has the store into changes.
+func take(r *swpb.StoreReply) (platform.Changes, error, bool) {
+	if r.GetStatus() == swpb.StoreStatus_STORE_STATUS_COMPACTED {
+		return platform.Changes{}, platform.ErrCompacted, true
+	}
+	return changes(r), nil, true
+}
+
+// learn takes the VMs that a neighbour knows, if this one knows none.
+func (s *Service) learn(known []*swpb.StoreNode) {
+	s.mu.Lock()
+	unknown := len(s.nodes) == 0
+	s.mu.Unlock()
+	if !unknown || len(known) == 0 || s.learned == nil {
+		return
+	}
+	nodes := make([]roster.Node, 0, len(known)+1)
+	for _, n := range known {
+		nodes = append(nodes, roster.Node{Name: n.GetName(), Zone: n.GetZone(), Addr: n.GetAddr()})
+	}
+	if !slices.ContainsFunc(nodes, func(n roster.Node) bool { return n.Name == s.self.Name }) {
+		nodes = append(nodes, s.self)
+	}
+	s.learned(nodes)
+}
+
+func (s *Service) setNeighbour(addr, what, prefix string) {
+	s.mu.Lock()
+	changed := s.neighbour[prefix] != addr
+	s.neighbour[prefix] = addr
+	s.mu.Unlock()
+	if changed {
+		s.log.Info().Str("kind", "relay").Str("neighbour", addr).Str("prefix", prefix).Msg("neighbour that has the store: " + what)
+	}
+}
+
+func (s *Service) canRecall(prefix string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, ok := s.recalled[prefix]
+	return ok
+}
+
+// Recall implements storewatch.Recaller: what others knew before all lost the
+// store, as they told while it was to be read.
+func (s *Service) Recall(prefix string) (platform.Changes, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c, ok := s.recalled[prefix]
+	delete(s.recalled, prefix)
+	return c, ok
+}
--- /dev/null
+++ b/internal/storerelay/neighbours_test.go
@@ -0,0 +1,162 @@
+package storerelay_test
+
+import (
+	"context"
+	"net"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"github.com/sapphirewall/sapphirewall/internal/peer"
+	"github.com/sapphirewall/sapphirewall/internal/roster"
+	"github.com/sapphirewall/sapphirewall/internal/storerelay"
+	"github.com/sapphirewall/sapphirewall/internal/storewatch"
+	"github.com/sapphirewall/sapphirewall/proto/swpb"
+)
+
+// late starts one more VM that knows no other but by its seeds.
+func late(st *store, name string, seeds []string) (*vm, <-chan []roster.Node) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	v := &vm{Node: roster.Node{Name: name, Zone: "a", Addr: ln.Addr().String()}}
+	Expect(ln.Close()).To(Succeed())
+	v.service = storerelay.New(seenBy{st, name}, "fleet", v.Node, zerolog.New(GinkgoWriter))
+	learned := make(chan []roster.Node, 10)
+	v.service.Seed(seeds)
+	v.service.Learned(func(nodes []roster.Node) {
+		learned <- nodes
+		v.service.SetNodes(nodes)
+	})
+	Expect(v.service.Start(context.Background(), nil)).To(Succeed())
+	v.service.SetNodes(nil)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	m := v.service.Mirror("", v)
+	go func() {
+		defer close(done)
+		storewatch.New(v.service, "", m, zerolog.New(GinkgoWriter)).Run(ctx)
+	}()
+	DeferCleanup(func() {
+		cancel()
+		<-done
+		Expect(v.service.Stop(context.Background())).To(Succeed())
+	})
+	return v, learned
+}
+
+func addresses(vms []*vm) (out []string) {
+	for _, v := range vms {
+		out = append(out, v.Addr)
+	}
+	return out
+}
+
+var _ = Describe("a VM that has lost the store", func() {
+	for _, kind := range []string{"is refused", "hears nothing"} {
+		It("learns of changes from one that has it, when it "+kind, func() {
+			st := newStore()
+			vms := zone(st, 3)
+			expectAll(vms, "1", 5*time.Second)
+			lose := func(name string, lost bool) {
+				if kind == "is refused" {
+					st.disconnect(name, lost)
+					return
+				}
+				st.mu.Lock()
+				defer st.mu.Unlock()
+				st.silent[name] = lost
+			}
+			lose("vm-0", true)
+			for _, value := range []string{"2", "3", "4"} {
+				st.set(value)
+				expectAll(vms, value, 3*time.Second) // changes are due in three seconds
+			}
+			lose("vm-0", false)
+			for _, other := range []string{"vm-1", "vm-2"} { // it reads the store itself again
+				lose(other, true)
+			}
+			st.set("5")
+			expectAll(vms, "5", 4*time.Second)
+		})
+	}
+
+	It("keeps what it knows while all have lost it", func() {
+		st := newStore()
+		vms := zone(st, 3)
+		expectAll(vms, "1", 5*time.Second)
+		for _, v := range vms {
+			st.disconnect(v.Name, true)
+		}
+		time.Sleep(time.Second)
+		expectAll(vms, "1", time.Second)
+		for _, v := range vms {
+			st.disconnect(v.Name, false)
+		}
+		st.set("2")
+		expectAll(vms, "2", 3*time.Second)
+	})
+})
+
+var _ = Describe("a VM that starts without the store", func() {
+	It("takes the present state from a seed that has it, and the VMs that serve", func() {
+		st := newStore()
+		vms := zone(st, 3)
+		expectAll(vms, "1", 5*time.Second)
+		st.disconnect("vm-9", true)
+		v, learned := late(st, "vm-9", addresses(vms))
+		expectAll([]*vm{v}, "1", 2*time.Second)
+		Expect(<-learned).To(ConsistOf(HaveField("Name", "vm-0"), HaveField("Name", "vm-1"), HaveField("Name", "vm-2"), HaveField("Name", "vm-9")))
+		st.set("2")
+		expectAll([]*vm{v}, "2", 3*time.Second)
+	})
+
+	It("takes what others knew when they have lost it too, and is current after its return", func() {
+		st := newStore()
+		vms := zone(st, 3)
+		expectAll(vms, "1", 5*time.Second)
+		for _, name := range []string{"vm-0", "vm-1", "vm-2", "vm-9"} {
+			st.disconnect(name, true)
+		}
+		time.Sleep(500 * time.Millisecond)
+		v, _ := late(st, "vm-9", append(addresses(vms), "127.0.0.1:1"))
+		expectAll([]*vm{v}, "1", 2*time.Second)
+		st.set("2")
+		Consistently(v.get, "500ms").Should(Equal("1"))
+		st.disconnect("vm-9", false)
+		expectAll([]*vm{v}, "2", 3*time.Second)
+	})
+})
+
+// VMs that hear of each other must not take each other's word for the store's:
+// in a silence for all, one that had just fallen back on the store answered as
+// if it had it (deploy/days/outage-then-kill-all on ishikari, seed
+// 1017067852339: CONFIG).
+var _ = Describe("VMs in an outage for all", func() {
+	It("never tell each other that they have the store", func() {
+		st := newStore()
+		vms := zone(st, 3)
+		expectAll(vms, "1", 5*time.Second)
+		pool := peer.NewPool(peer.Options{Self: peer.Identity{Fleet: "fleet", Node: "asker", Zone: "a", Role: peer.RoleControl, Incarnation: 1}, Lanes: 1})
+		DeferCleanup(pool.Close)
+		for _, v := range vms { // one hears of the next before that one is silenced too
+			st.mu.Lock()
+			st.silent[v.Name] = true
+			st.mu.Unlock()
+			time.Sleep(2 * time.Second)
+		}
+		for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+			for _, v := range vms {
+				ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+				reply, err := pool.Get(v.Addr).Call(ctx, &swpb.Envelope{Body: &swpb.Envelope_StoreRequest{StoreRequest: &swpb.StoreRequest{Snapshot: true}}})
+				cancel()
+				Expect(err).NotTo(HaveOccurred())
+				Expect(reply.GetStoreReply().GetStatus()).To(Equal(swpb.StoreStatus_STORE_STATUS_NO_RELAY), v.Name)
+			}
+		}
+		st.silence(false)
+		st.set("2")
+		expectAll(vms, "2", 3*time.Second)
+	})
+})
--- a/internal/storerelay/service.go
+++ b/internal/storerelay/service.go
@@ -67,17 +67,30 @@
 	opts  peer.Options
 	log   zerolog.Logger
 
+	seeds   []string // addresses of VMs to ask while none is known
+	learned func([]roster.Node)
+
 	mu      sync.Mutex // guards all below
 	mirrors map[string]*Mirror
 	direct  bool     // this VM reads the store
 	relays  []string // addresses of the relays to ask, if it doesn't
 	resting map[string]time.Time
-	byRelay map[string]bool // by prefix: its last news came from a relay
-	probing sync.Mutex      // held during a probe; taken before mu
-	probed  time.Time
-	healthy error         // of the last probe
-	known   chan struct{} // closed once the VMs are known
-	server  *peer.Server
+	nodes   []roster.Node // that serve; empty: not known
+	readers []string      // addresses of the others that read the store
+	// reads has the prefixes of which the store itself told last, and has not
+	// failed since: only of these may other VMs be told.
+	reads map[string]bool
+	// neighbour is by prefix the one that told last; unanswered is when nobody
+	// could.
+	neighbour  map[string]string
+	unanswered time.Time
+	recalled   map[string]platform.Changes // by prefix: what others knew before they lost the store
+	byRelay    map[string]bool             // by prefix: its last news came from a relay
+	probing    sync.Mutex                  // held during a probe; taken before mu
+	probed     time.Time
+	healthy    error         // of the last probe
+	known      chan struct{} // closed once the VMs are known
+	server     *peer.Server
 }
 
 // New returns the relay service of a VM of a fleet.
@@ -88,7 +101,7 @@
 	}
 	return &Service{
 		store: store, self: self, opts: o, pool: peer.NewPool(o), log: log,
-		mirrors: map[string]*Mirror{}, direct: true, resting: map[string]time.Time{}, byRelay: map[string]bool{}, known: make(chan struct{}),
+		mirrors: map[string]*Mirror{}, direct: true, resting: map[string]time.Time{}, byRelay: map[string]bool{}, recalled: map[string]platform.Changes{}, reads: map[string]bool{}, neighbour: map[string]string{}, known: make(chan struct{}),
 	}
 }
 
@@ -151,6 +164,7 @@
 		s.log.Info().Str("kind", "relay").Bool("direct", route.Platform).Strs("relays", relays).Int("zone_vms", len(cands)).Msg("source of the store's changes")
 	}
 	s.direct, s.relays = route.Platform, relays
+	s.nodes, s.readers = nodes, readers(s.self.Name, nodes)
 	select {
 	case <-s.known:
 	default:
@@ -169,7 +183,37 @@
 		return c, err
 	}
 	s.came(prefix, false)
-	return s.store.Snapshot(ctx, prefix)
+	type reading struct {
+		c   platform.Changes
+		err error
+	}
+	read := make(chan reading, 1)
+	go func() {
+		c, err := s.store.Snapshot(ctx, prefix)
+		read <- reading{c, err}
+	}()
+	var r reading
+	hasRead := false
+	select {
+	case r = <-read:
+		hasRead = true
+	case <-time.After(patience):
+	}
+	if !hasRead || isLost(r.err) {
+		req.Recall = true
+		if c, err, told := s.askNeighbours(ctx, req); told {
+			s.came(prefix, true)
+			return c, err
+		}
+	}
+	if !hasRead && s.canRecall(prefix) {
+		return platform.Changes{}, platform.ErrUnavailable
+	}
+	if !hasRead {
+		r = <-read
+	}
+	s.answered(prefix, r.err)
+	return r.c, r.err
 }
 
 // Watch implements platform.Watcher.
@@ -179,10 +223,42 @@
 		s.came(prefix, true)
 		return c, err
 	}
+	if s.hasLostStore(ctx, prefix) {
+		if c, err, told := s.askNeighbours(ctx, req); told {
+			s.came(prefix, true)
+			return c, err
+		}
+	}
 	if s.came(prefix, false) {
 		wait = min(wait, firstWait)
 	}
-	return s.store.Watch(ctx, prefix, from, wait)
+	c, err := s.store.Watch(ctx, prefix, from, wait)
+	s.answered(prefix, err)
+	if !isLost(err) || ctx.Err() != nil {
+		return c, err
+	}
+	if c, err, told := s.askNeighbours(ctx, req); told {
+		s.came(prefix, true)
+		return c, err
+	}
+	return c, err
+}
+
+// isLost reports whether an error says that the store can't tell.
+func isLost(err error) bool { return err != nil && !errors.Is(err, platform.ErrCompacted) }
+
+// hasLostStore reports whether the store did not answer this VM lately. A VM
+// that hears of a neighbour asks the store anew.
+func (s *Service) hasLostStore(ctx context.Context, prefix string) bool {
+	s.mu.Lock()
+	byNeighbour := s.direct && s.byRelay[prefix]
+	s.mu.Unlock()
+	if byNeighbour {
+		return s.probe(ctx) != nil
+	}
+	s.probing.Lock()
+	defer s.probing.Unlock()
+	return s.healthy != nil
 }
 
 // ProbeEvery implements storewatch.Prober.
@@ -197,6 +273,11 @@
 	if byRelay {
 		return nil
 	}
+	return s.probe(ctx)
+}
+
+// probe asks the store, unless that was done just now.
+func (s *Service) probe(ctx context.Context) error {
 	s.probing.Lock()
 	defer s.probing.Unlock()
 	if time.Since(s.probed) < probeEvery/2 {
@@ -205,9 +286,21 @@
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	s.healthy, s.probed = s.store.Probe(ctx), time.Now()
+	if s.healthy != nil {
+		s.mu.Lock()
+		clear(s.reads)
+		s.mu.Unlock()
+	}
 	return s.healthy
 }
 
+// answered notes whether the store told of a prefix.
+func (s *Service) answered(prefix string, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reads[prefix] = !isLost(err)
+}
+
 // came notes where the news of a prefix last came from, and reports whether they
 // come from the store now and came from a relay before.
 func (s *Service) came(prefix string, byRelay bool) bool {
@@ -215,6 +308,9 @@
 	defer s.mu.Unlock()
 	before := s.byRelay[prefix]
 	s.byRelay[prefix] = byRelay
+	if byRelay {
+		s.reads[prefix] = false
+	}
 	return before && !byRelay
 }
 
@@ -271,17 +367,27 @@
 	s.resting[addr] = time.Now().Add(restAfter)
 }
 
-// handle answers another VM, if this one reads the store itself: a chain of
-// relays would tell old news.
+// handle answers another VM, if this one has its news from the store itself: a
+// chain of VMs would tell old news.
 func (s *Service) handle(ctx context.Context, _ peer.Identity, env *swpb.Envelope) (*swpb.Envelope, error) {
 	req := env.GetStoreRequest()
 	s.mu.Lock()
-	m, direct := s.mirrors[req.GetPrefix()], s.direct
+	m := s.mirrors[req.GetPrefix()]
+	reads := s.direct && s.reads[req.GetPrefix()]
+	nodes := s.nodes
 	s.mu.Unlock()
 	reply := &swpb.StoreReply{Status: swpb.StoreStatus_STORE_STATUS_NO_RELAY}
-	if m != nil && direct {
+	if m != nil && reads {
 		reply = answer(ctx, m, req)
 	}
+	if m != nil && reply.GetStatus() == swpb.StoreStatus_STORE_STATUS_NO_RELAY && req.GetRecall() {
+		reply = recalled(m)
+	}
+	if req.GetSnapshot() {
+		for _, n := range nodes {
+			reply.Nodes = append(reply.Nodes, &swpb.StoreNode{Name: n.Name, Zone: n.Zone, Addr: n.Addr})
+		}
+	}
 	return &swpb.Envelope{Body: &swpb.Envelope_StoreReply{StoreReply: reply}}, nil
 }
 
@@ -299,7 +405,20 @@
 	case err != nil:
 		return &swpb.StoreReply{Status: swpb.StoreStatus_STORE_STATUS_NO_RELAY}
 	}
-	reply := &swpb.StoreReply{Status: swpb.StoreStatus_STORE_STATUS_OK, Revision: c.Revision}
+	return toReply(swpb.StoreStatus_STORE_STATUS_OK, c)
+}
+
+// recalled is what a mirror knew before the store was lost, if anything.
+func recalled(m *Mirror) *swpb.StoreReply {
+	c := m.Last()
+	if c.Revision == 0 {
+		return &swpb.StoreReply{Status: swpb.StoreStatus_STORE_STATUS_NO_RELAY}
+	}
+	return toReply(swpb.StoreStatus_STORE_STATUS_RECALLED, c)
+}
+
+func toReply(status swpb.StoreStatus, c platform.Changes) *swpb.StoreReply {
+	reply := &swpb.StoreReply{Status: status, Revision: c.Revision}
 	for _, e := range c.Entries {
 		reply.Entries = append(reply.Entries, &swpb.StoreEntry{Key: e.Key, Value: e.Value, Revision: e.Revision, Deleted: e.Deleted})
 	}
--- a/internal/storewatch/watch.go
+++ b/internal/storewatch/watch.go
@@ -56,6 +56,13 @@
 	ProbeEvery() time.Duration
 }
 
+// Recaller is a store that may know of an earlier reading while it can't be read.
+type Recaller interface {
+	// Recall returns all entries of a prefix as they were at some revision, if
+	// the last attempt to read them has shown any.
+	Recall(prefix string) (platform.Changes, bool)
+}
+
 // Watch follows one prefix.
 type Watch struct {
 	store   platform.Watcher
@@ -86,6 +93,7 @@
 		}
 		if err != nil {
 			w.lost(err)
+			w.recall()
 			pacer.Called(now)
 			pacer.Done(now, false)
 			sleep(ctx, pacer.Next(now).Sub(now))
@@ -168,6 +176,23 @@
 	w.handler.Away(err)
 }
 
+// recall takes an earlier reading while nothing is known at all. The store
+// counts as away until it can be read.
+func (w *Watch) recall() {
+	recaller, ok := w.store.(Recaller)
+	if !ok || w.revision != 0 {
+		return
+	}
+	c, ok := recaller.Recall(w.prefix)
+	if !ok || c.Revision == 0 {
+		return
+	}
+	w.log.Info().Str("kind", "dependency").Str("prefix", w.prefix).Uint64("revision", c.Revision).Int("entries", len(c.Entries)).
+		Msg("store can't be read; going on with what another VM knew")
+	w.handler.Replace(c.Entries, c.Revision)
+	w.revision = c.Revision
+}
+
 func (w *Watch) regained() {
 	if !w.away {
 		return
