Ask other VMs before the store when relays have lost it

Change: a VM that is no reader asks its relays, then readers of other zones, then the store once a second, without waiting there and without probes. A relay that has lost the store is asked again after 250 ms, an unreachable one after 3 s. A reader that has lost the store tries it by the shared probe alone.

--- a/internal/storerelay/neighbours.go
+++ b/internal/storerelay/neighbours.go
@@ -114,6 +114,7 @@
 		s.mu.Unlock()
 		return platform.Changes{}, nil, false
 	}
+	s.came(req.GetPrefix(), true)
 	s.setNeighbour(addr, "found", req.GetPrefix())
 	return take(reply)
 }
--- a/internal/storerelay/neighbours_test.go
+++ b/internal/storerelay/neighbours_test.go
@@ -17,10 +17,10 @@
 )
 
 // late starts one more VM that knows no other but by its seeds.
-func late(st *store, name string, seeds []string) (*vm, <-chan []roster.Node) {
+func late(st *store, name, zone string, seeds []string) (*vm, <-chan []roster.Node) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
-	v := &vm{Node: roster.Node{Name: name, Zone: "a", Addr: ln.Addr().String()}}
+	v := &vm{Node: roster.Node{Name: name, Zone: zone, Addr: ln.Addr().String()}}
 	Expect(ln.Close()).To(Succeed())
 	v.service = storerelay.New(seenBy{st, name}, "fleet", v.Node, zerolog.New(GinkgoWriter))
 	learned := make(chan []roster.Node, 10)
@@ -105,7 +105,7 @@
 		vms := zone(st, 3)
 		expectAll(vms, "1", 5*time.Second)
 		st.disconnect("vm-9", true)
-		v, learned := late(st, "vm-9", addresses(vms))
+		v, learned := late(st, "vm-9", "a", addresses(vms))
 		expectAll([]*vm{v}, "1", 2*time.Second)
 		Expect(<-learned).To(ConsistOf(HaveField("Name", "vm-0"), HaveField("Name", "vm-1"), HaveField("Name", "vm-2"), HaveField("Name", "vm-9")))
 		st.set("2")
@@ -120,7 +120,7 @@
 			st.disconnect(name, true)
 		}
 		time.Sleep(500 * time.Millisecond)
-		v, _ := late(st, "vm-9", append(addresses(vms), "127.0.0.1:1"))
+		v, _ := late(st, "vm-9", "a", append(addresses(vms), "127.0.0.1:1"))
 		expectAll([]*vm{v}, "1", 2*time.Second)
 		st.set("2")
 		Consistently(v.get, "500ms").Should(Equal("1"))
@@ -160,3 +160,58 @@
 		expectAll(vms, "2", 3*time.Second)
 	})
 })
+
+// Every call has its price, and in an outage none brings anything (scale-2 of
+// the grown ishikari: 4,900 calls, most of them of VMs whose relays had lost the
+// store).
+var _ = Describe("a zone of many VMs in an outage", func() {
+	// perSecond lets the zone run for a while and returns its calls a second.
+	perSecond := func(st *store) float64 {
+		const length = 4 * time.Second
+		st.mu.Lock()
+		before := st.calls
+		st.mu.Unlock()
+		time.Sleep(length)
+		st.mu.Lock()
+		defer st.mu.Unlock()
+		return float64(st.calls-before) / length.Seconds()
+	}
+
+	It("makes two calls a second for each relay and one for each other VM at most", func() {
+		st := newStore()
+		vms := zone(st, 8)
+		expectAll(vms, "1", 5*time.Second)
+		for _, v := range vms {
+			st.disconnect(v.Name, true)
+		}
+		time.Sleep(time.Second)
+		Expect(perSecond(st)).To(BeNumerically("<=", 2*2+6))
+		for _, v := range vms {
+			st.disconnect(v.Name, false)
+		}
+		st.set("2")
+		expectAll(vms, "2", 3*time.Second)
+	})
+
+	It("makes no call for a VM whose relays have lost the store while other zones have it", func() {
+		st := newStore()
+		vms := zone(st, 8)
+		expectAll(vms, "1", 5*time.Second)
+		far, _ := late(st, "vm-far", "b", nil)
+		var nodes []roster.Node
+		for _, v := range append(vms, far) {
+			nodes = append(nodes, v.Node)
+		}
+		for _, v := range append(vms, far) {
+			v.service.SetNodes(nodes)
+		}
+		expectAll([]*vm{far}, "1", 3*time.Second)
+		for _, v := range vms {
+			st.disconnect(v.Name, true)
+		}
+		time.Sleep(time.Second)
+		Expect(perSecond(st)).To(BeNumerically("<=", 2*2+2+1), "the two relays, the far VM, and seldom another")
+		st.set("2")
+		expectAll(vms, "2", 3*time.Second)
+	})
+})
--- a/internal/storerelay/relay_test.go
+++ b/internal/storerelay/relay_test.go
@@ -31,6 +31,7 @@
 	mu       sync.Mutex
 	revision uint64
 	value    string
+	calls    int // of any kind
 	watches  map[string]int
 	cut      map[string]bool
 	silent   map[string]bool // VMs whose watches hear nothing
@@ -79,6 +80,7 @@
 func (s seenBy) Snapshot(context.Context, string) (platform.Changes, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.calls++
 	if s.cut[s.vm] {
 		return platform.Changes{}, platform.ErrUnavailable
 	}
@@ -89,6 +91,7 @@
 func (s seenBy) Probe(context.Context) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.calls++
 	if s.cut[s.vm] || s.silent[s.vm] {
 		return platform.ErrUnavailable
 	}
@@ -104,6 +107,7 @@
 	defer timer.Stop()
 	s.mu.Lock()
 	s.watches[s.vm]++
+	s.calls++
 	s.mu.Unlock()
 	for {
 		s.mu.Lock()
--- /dev/null
+++ b/internal/storerelay/serve.go
@@ -0,0 +1,77 @@
+package storerelay
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/sapphirewall/sapphirewall/internal/peer"
+	"github.com/sapphirewall/sapphirewall/internal/platform"
+	"github.com/sapphirewall/sapphirewall/proto/swpb"
+)
+
+// handle answers another VM, if this one has its news from the store itself: a
+// chain of VMs would tell old news.
+func (s *Service) handle(ctx context.Context, _ peer.Identity, env *swpb.Envelope) (*swpb.Envelope, error) {
+	req := env.GetStoreRequest()
+	s.mu.Lock()
+	m := s.mirrors[req.GetPrefix()]
+	reads := s.direct && s.reads[req.GetPrefix()]
+	nodes := s.nodes
+	s.mu.Unlock()
+	reply := &swpb.StoreReply{Status: swpb.StoreStatus_STORE_STATUS_NO_RELAY}
+	if m != nil && reads {
+		reply = answer(ctx, m, req)
+	}
+	if m != nil && reply.GetStatus() == swpb.StoreStatus_STORE_STATUS_NO_RELAY && req.GetRecall() {
+		reply = recalled(m)
+	}
+	if req.GetSnapshot() {
+		for _, n := range nodes {
+			reply.Nodes = append(reply.Nodes, &swpb.StoreNode{Name: n.Name, Zone: n.Zone, Addr: n.Addr})
+		}
+	}
+	return &swpb.Envelope{Body: &swpb.Envelope_StoreReply{StoreReply: reply}}, nil
+}
+
+func answer(ctx context.Context, m *Mirror, req *swpb.StoreRequest) *swpb.StoreReply {
+	var c platform.Changes
+	var err error
+	if req.GetSnapshot() {
+		c, err = m.Snapshot(ctx, req.GetPrefix())
+	} else {
+		c, err = m.Watch(ctx, req.GetPrefix(), req.GetAfter(), time.Duration(req.GetWaitMs())*time.Millisecond)
+	}
+	switch {
+	case errors.Is(err, platform.ErrCompacted):
+		return &swpb.StoreReply{Status: swpb.StoreStatus_STORE_STATUS_COMPACTED}
+	case err != nil:
+		return &swpb.StoreReply{Status: swpb.StoreStatus_STORE_STATUS_NO_RELAY}
+	}
+	return toReply(swpb.StoreStatus_STORE_STATUS_OK, c)
+}
+
+// recalled is what a mirror knew before the store was lost, if anything.
+func recalled(m *Mirror) *swpb.StoreReply {
+	c := m.Last()
+	if c.Revision == 0 {
+		return &swpb.StoreReply{Status: swpb.StoreStatus_STORE_STATUS_NO_RELAY}
+	}
+	return toReply(swpb.StoreStatus_STORE_STATUS_RECALLED, c)
+}
+
+func toReply(status swpb.StoreStatus, c platform.Changes) *swpb.StoreReply {
+	reply := &swpb.StoreReply{Status: status, Revision: c.Revision}
+	for _, e := range c.Entries {
+		reply.Entries = append(reply.Entries, &swpb.StoreEntry{Key: e.Key, Value: e.Value, Revision: e.Revision, Deleted: e.Deleted})
+	}
+	return reply
+}
+
+func changes(r *swpb.StoreReply) platform.Changes {
+	out := platform.Changes{Revision: r.GetRevision()}
+	for _, e := range r.GetEntries() {
+		out.Entries = append(out.Entries, platform.Entry{Key: e.GetKey(), Value: e.GetValue(), Revision: e.GetRevision(), Deleted: e.GetDeleted()})
+	}
+	return out
+}
--- a/internal/storerelay/service.go
+++ b/internal/storerelay/service.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"sync"
 	"time"
@@ -48,8 +47,14 @@
 	probeEvery = time.Second
 	// probeTimeout is far above what a slow store takes for a read.
 	probeTimeout = 800 * time.Millisecond
-	// restAfter is how long a relay that could not tell is left alone.
-	restAfter = 3 * time.Second
+	// restAfter is how long a relay that can't be reached is left alone, and
+	// askRelaysAgain one that has lost the store itself.
+	restAfter      = 3 * time.Second
+	askRelaysAgain = 250 * time.Millisecond
+	// pollEvery is the time between two calls to the store of a VM that is no
+	// reader, while no other VM can tell: a third of the time in which changes
+	// are due.
+	pollEvery = time.Second
 )
 
 // Store is what a relay uses of the platform's store.
@@ -75,8 +80,10 @@
 	direct  bool     // this VM reads the store
 	relays  []string // addresses of the relays to ask, if it doesn't
 	resting map[string]time.Time
-	nodes   []roster.Node // that serve; empty: not known
-	readers []string      // addresses of the others that read the store
+	nodes   []roster.Node        // that serve; empty: not known
+	readers []string             // addresses of the others that read the store
+	lost    bool                 // the store did not answer when it was last asked
+	polled  map[string]time.Time // by prefix: when a VM that is no reader asked the store
 	// reads has the prefixes of which the store itself told last, and has not
 	// failed since: only of these may other VMs be told.
 	reads map[string]bool
@@ -101,7 +108,7 @@
 	}
 	return &Service{
 		store: store, self: self, opts: o, pool: peer.NewPool(o), log: log,
-		mirrors: map[string]*Mirror{}, direct: true, resting: map[string]time.Time{}, byRelay: map[string]bool{}, recalled: map[string]platform.Changes{}, reads: map[string]bool{}, neighbour: map[string]string{}, known: make(chan struct{}),
+		mirrors: map[string]*Mirror{}, direct: true, resting: map[string]time.Time{}, byRelay: map[string]bool{}, recalled: map[string]platform.Changes{}, reads: map[string]bool{}, polled: map[string]time.Time{}, neighbour: map[string]string{}, known: make(chan struct{}),
 	}
 }
 
@@ -175,145 +182,6 @@
 // Known is closed once the VMs are known.
 func (s *Service) Known() <-chan struct{} { return s.known }
 
-// Snapshot implements platform.Watcher.
-func (s *Service) Snapshot(ctx context.Context, prefix string) (platform.Changes, error) {
-	req := &swpb.StoreRequest{Prefix: prefix, Snapshot: true}
-	if c, err, told := s.ask(ctx, req); told {
-		s.came(prefix, true)
-		return c, err
-	}
-	s.came(prefix, false)
-	type reading struct {
-		c   platform.Changes
-		err error
-	}
-	read := make(chan reading, 1)
-	go func() {
-		c, err := s.store.Snapshot(ctx, prefix)
-		read <- reading{c, err}
-	}()
-	var r reading
-	hasRead := false
-	select {
-	case r = <-read:
-		hasRead = true
-	case <-time.After(patience):
-	}
-	if !hasRead || isLost(r.err) {
-		req.Recall = true
-		if c, err, told := s.askNeighbours(ctx, req); told {
-			s.came(prefix, true)
-			return c, err
-		}
-	}
-	if !hasRead && s.canRecall(prefix) {
-		return platform.Changes{}, platform.ErrUnavailable
-	}
-	if !hasRead {
-		r = <-read
-	}
-	s.answered(prefix, r.err)
-	return r.c, r.err
-}
-
-// Watch implements platform.Watcher.
-func (s *Service) Watch(ctx context.Context, prefix string, from uint64, wait time.Duration) (platform.Changes, error) {
-	req := &swpb.StoreRequest{Prefix: prefix, After: from, WaitMs: uint32(min(wait, relayWait).Milliseconds())}
-	if c, err, told := s.ask(ctx, req); told {
-		s.came(prefix, true)
-		return c, err
-	}
-	if s.hasLostStore(ctx, prefix) {
-		if c, err, told := s.askNeighbours(ctx, req); told {
-			s.came(prefix, true)
-			return c, err
-		}
-	}
-	if s.came(prefix, false) {
-		wait = min(wait, firstWait)
-	}
-	c, err := s.store.Watch(ctx, prefix, from, wait)
-	s.answered(prefix, err)
-	if !isLost(err) || ctx.Err() != nil {
-		return c, err
-	}
-	if c, err, told := s.askNeighbours(ctx, req); told {
-		s.came(prefix, true)
-		return c, err
-	}
-	return c, err
-}
-
-// isLost reports whether an error says that the store can't tell.
-func isLost(err error) bool { return err != nil && !errors.Is(err, platform.ErrCompacted) }
-
-// hasLostStore reports whether the store did not answer this VM lately. A VM
-// that hears of a neighbour asks the store anew.
-func (s *Service) hasLostStore(ctx context.Context, prefix string) bool {
-	s.mu.Lock()
-	byNeighbour := s.direct && s.byRelay[prefix]
-	s.mu.Unlock()
-	if byNeighbour {
-		return s.probe(ctx) != nil
-	}
-	s.probing.Lock()
-	defer s.probing.Unlock()
-	return s.healthy != nil
-}
-
-// ProbeEvery implements storewatch.Prober.
-func (s *Service) ProbeEvery() time.Duration { return probeEvery }
-
-// Probe implements storewatch.Prober. The watches of all prefixes share the
-// probes; one that hears of a relay needs none.
-func (s *Service) Probe(ctx context.Context, prefix string) error {
-	s.mu.Lock()
-	byRelay := s.byRelay[prefix]
-	s.mu.Unlock()
-	if byRelay {
-		return nil
-	}
-	return s.probe(ctx)
-}
-
-// probe asks the store, unless that was done just now.
-func (s *Service) probe(ctx context.Context) error {
-	s.probing.Lock()
-	defer s.probing.Unlock()
-	if time.Since(s.probed) < probeEvery/2 {
-		return s.healthy
-	}
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
-	defer cancel()
-	s.healthy, s.probed = s.store.Probe(ctx), time.Now()
-	if s.healthy != nil {
-		s.mu.Lock()
-		clear(s.reads)
-		s.mu.Unlock()
-	}
-	return s.healthy
-}
-
-// answered notes whether the store told of a prefix.
-func (s *Service) answered(prefix string, err error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.reads[prefix] = !isLost(err)
-}
-
-// came notes where the news of a prefix last came from, and reports whether they
-// come from the store now and came from a relay before.
-func (s *Service) came(prefix string, byRelay bool) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	before := s.byRelay[prefix]
-	s.byRelay[prefix] = byRelay
-	if byRelay {
-		s.reads[prefix] = false
-	}
-	return before && !byRelay
-}
-
 // ask asks the relays in turn; told is false when none can tell, or this VM is a
 // relay itself.
 func (s *Service) ask(ctx context.Context, req *swpb.StoreRequest) (c platform.Changes, err error, told bool) {
@@ -324,6 +192,7 @@
 		}
 		switch {
 		case err == nil && reply.GetStatus() == swpb.StoreStatus_STORE_STATUS_OK:
+			s.told(addr)
 			return changes(reply), nil, true
 		case err == nil && reply.GetStatus() == swpb.StoreStatus_STORE_STATUS_COMPACTED:
 			return platform.Changes{}, platform.ErrCompacted, true
@@ -333,6 +202,13 @@
 	return platform.Changes{}, nil, false
 }
 
+// told notes that a relay can tell.
+func (s *Service) told(addr string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.resting, addr)
+}
+
 func (s *Service) call(ctx context.Context, addr string, req *swpb.StoreRequest) (*swpb.StoreReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(req.GetWaitMs())*time.Millisecond+silentAfter)
 	defer cancel()
@@ -360,75 +236,17 @@
 	return out
 }
 
+// rest leaves a relay alone for a while. The first of several failures in a row
+// is logged.
 func (s *Service) rest(addr string, reply *swpb.StoreReply, err error) {
-	s.log.Info().Str("kind", "relay").Str("relay", addr).Stringer("status", reply.GetStatus()).AnErr("cause", err).Msg("relay can't tell; asking the next, or the store")
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.resting[addr] = time.Now().Add(restAfter)
-}
-
-// handle answers another VM, if this one has its news from the store itself: a
-// chain of VMs would tell old news.
-func (s *Service) handle(ctx context.Context, _ peer.Identity, env *swpb.Envelope) (*swpb.Envelope, error) {
-	req := env.GetStoreRequest()
-	s.mu.Lock()
-	m := s.mirrors[req.GetPrefix()]
-	reads := s.direct && s.reads[req.GetPrefix()]
-	nodes := s.nodes
-	s.mu.Unlock()
-	reply := &swpb.StoreReply{Status: swpb.StoreStatus_STORE_STATUS_NO_RELAY}
-	if m != nil && reads {
-		reply = answer(ctx, m, req)
+	if _, known := s.resting[addr]; !known {
+		s.log.Info().Str("kind", "relay").Str("relay", addr).Stringer("status", reply.GetStatus()).AnErr("cause", err).Msg("relay can't tell; asking the next, other VMs, or the store")
 	}
-	if m != nil && reply.GetStatus() == swpb.StoreStatus_STORE_STATUS_NO_RELAY && req.GetRecall() {
-		reply = recalled(m)
+	pause := restAfter
+	if err == nil {
+		pause = askRelaysAgain
 	}
-	if req.GetSnapshot() {
-		for _, n := range nodes {
-			reply.Nodes = append(reply.Nodes, &swpb.StoreNode{Name: n.Name, Zone: n.Zone, Addr: n.Addr})
-		}
-	}
-	return &swpb.Envelope{Body: &swpb.Envelope_StoreReply{StoreReply: reply}}, nil
-}
-
-func answer(ctx context.Context, m *Mirror, req *swpb.StoreRequest) *swpb.StoreReply {
-	var c platform.Changes
-	var err error
-	if req.GetSnapshot() {
-		c, err = m.Snapshot(ctx, req.GetPrefix())
-	} else {
-		c, err = m.Watch(ctx, req.GetPrefix(), req.GetAfter(), time.Duration(req.GetWaitMs())*time.Millisecond)
-	}
-	switch {
-	case errors.Is(err, platform.ErrCompacted):
-		return &swpb.StoreReply{Status: swpb.StoreStatus_STORE_STATUS_COMPACTED}
-	case err != nil:
-		return &swpb.StoreReply{Status: swpb.StoreStatus_STORE_STATUS_NO_RELAY}
-	}
-	return toReply(swpb.StoreStatus_STORE_STATUS_OK, c)
-}
-
-// recalled is what a mirror knew before the store was lost, if anything.
-func recalled(m *Mirror) *swpb.StoreReply {
-	c := m.Last()
-	if c.Revision == 0 {
-		return &swpb.StoreReply{Status: swpb.StoreStatus_STORE_STATUS_NO_RELAY}
-	}
-	return toReply(swpb.StoreStatus_STORE_STATUS_RECALLED, c)
-}
-
-func toReply(status swpb.StoreStatus, c platform.Changes) *swpb.StoreReply {
-	reply := &swpb.StoreReply{Status: status, Revision: c.Revision}
-	for _, e := range c.Entries {
-		reply.Entries = append(reply.Entries, &swpb.StoreEntry{Key: e.Key, Value: e.Value, Revision: e.Revision, Deleted: e.Deleted})
-	}
-	return reply
-}
-
-func changes(r *swpb.StoreReply) platform.Changes {
-	out := platform.Changes{Revision: r.GetRevision()}
-	for _, e := range r.GetEntries() {
-		out.Entries = append(out.Entries, platform.Entry{Key: e.GetKey(), Value: e.GetValue(), Revision: e.GetRevision(), Deleted: e.GetDeleted()})
-	}
-	return out
+	s.resting[addr] = time.Now().Add(pause)
 }
