--- a/internal/storerelay/read.go
+++ b/internal/storerelay/read.go
@@ -166,7 +166,11 @@
 func (s *Service) probe(ctx context.Context) error {
 	s.probing.Lock()
 	defer s.probing.Unlock()
-	if time.Since(s.probed) < probeEvery/2 {
+	fresh := probeEvery / 2
+	if s.healthy != nil {
+		fresh = probeLostEvery
+	}
+	if time.Since(s.probed) < fresh {
 		return s.healthy
 	}
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
--- a/internal/storerelay/service.go
+++ b/internal/storerelay/service.go
@@ -45,6 +45,9 @@
 	// so an outage must not fit between two probes: it has to be found out within
 	// a part of the time in which changes are due.
 	probeEvery = time.Second
+	// probeLostEvery is the same while the store is lost: its return is worth more
+	// than a few calls, above all to a VM that knows nothing yet.
+	probeLostEvery = 200 * time.Millisecond
 	// probeTimeout is far above what a slow store takes for a read.
 	probeTimeout = 800 * time.Millisecond
 	// restAfter is how long a relay that can't be reached is left alone, and
