Keep the bounds for all VMs through restarts and lapsed entries

VMs that know nobody shared out among ten, also where there are 88. Change: no slack in the first window of a process, no cold sends in its first two seconds (until VMs that started together know each other); the census is a pure package of its own; a VM asks the seeds at its start whom they know, and is counted by them; met VMs alone are not taken for all; the guess is 100. Not modelled: revision, drain, evacuation and rollout status.

--- a/internal/decide/retry/shared.go
+++ b/internal/decide/retry/shared.go
@@ -20,16 +20,22 @@
 type Shared struct {
 	share float64
 	slack float64
-	first [slots]int
-	extra [slots]int
-	sums  [2]int // of first and extra
-	begin time.Time
-	step  int64 // the newest slot's number, from begin
+	// slackFrom is when there is a slack.
+	slackFrom time.Time
+	first     [slots]int
+	extra     [slots]int
+	sums      [2]int // of first and extra
+	begin     time.Time
+	step      int64 // the newest slot's number, from begin
 }
 
-// NewShared returns a budget. share is the number of extra sends that a first
-// send allows, slack the number allowed beside in each window.
-func NewShared(share, slack float64) *Shared { return &Shared{share: share, slack: slack} }
+// NewShared returns a budget of a process that has begun at a time. share is the
+// number of extra sends that a first send allows, slack the number allowed beside
+// in each window. In the first window of the process there is no slack: the
+// process before it on the same VM may have used it.
+func NewShared(share, slack float64, begun time.Time) *Shared {
+	return &Shared{share: share, slack: slack, slackFrom: begun.Add(Window)}
+}
 
 // SetSlack changes the slack.
 func (s *Shared) SetSlack(slack float64) { s.slack = slack }
@@ -50,13 +56,22 @@
 // Used returns the extra sends of the window and how many it allows now.
 func (s *Shared) Used(now time.Time) (used int, allowed float64) {
 	s.slide(now)
-	return s.sums[1], s.share*float64(s.sums[0]) + s.slack
+	return s.sums[1], s.allowed(now)
+}
+
+// allowed is the number of extra sends that the window allows.
+func (s *Shared) allowed(now time.Time) float64 {
+	allowed := s.share * float64(s.sums[0])
+	if !now.Before(s.slackFrom) {
+		allowed += s.slack
+	}
+	return allowed
 }
 
 // take takes one extra send if it keeps within a part of the budget.
 func (s *Shared) take(now time.Time, part float64) bool {
 	s.slide(now)
-	if float64(s.sums[1]+1) > part*(s.share*float64(s.sums[0])+s.slack) {
+	if float64(s.sums[1]+1) > part*s.allowed(now) {
 		return false
 	}
 	s.extra[s.step%slots]++
--- a/internal/decide/share/share.go
+++ b/internal/decide/share/share.go
@@ -36,21 +36,67 @@
 	return each
 }
 
+// The parts of the bounds on extra sends that are used. The rest covers windows
+// that cut a burst in two, requests that never arrived, and VMs that don't count
+// a newcomer yet.
+const (
+	ratioUsed = 0.85
+	slackUsed = 0.8
+)
+
+// Guess is the number of VMs that share what is bounded for all while nothing is
+// known of them: more than the largest deployment of today has.
+const Guess = 100
+
+// VMs is the number of VMs among which bounds are shared out, by the nodes that
+// a VM knows.
+func VMs(nodes []string) int {
+	if len(nodes) == 0 {
+		return Guess
+	}
+	return len(nodes)
+}
+
+// Ratio is the number of extra sends that a VM allows itself for each first one,
+// by the bound for all.
+func Ratio(bound float64) float64 { return bound * ratioUsed }
+
+// Slack is a VM's part of the extra sends that all may make beside.
+func Slack(bound float64, nodes []string) float64 { return bound * slackUsed / float64(VMs(nodes)) }
+
+// ColdRate is a VM's part of the requests that a cold replica bears in a second.
+func ColdRate(total int, replica, self string, nodes []string) int {
+	if len(nodes) == 0 {
+		return total / Guess
+	}
+	return Of(total, replica, self, nodes)
+}
+
 // Rate bounds the events of a sliding second. It is not safe for concurrent use.
 type Rate struct {
 	times []time.Time // of the last second, oldest first
+	from  time.Time   // nothing is allowed before
 }
 
 // second is the window of a Rate, with room for the way: events that leave
 // further apart may arrive closer together.
 const second = 1200 * time.Millisecond
 
+// Settled is how long after its start a process knows the VMs that started with
+// it: they have entered and it has counted again (package roster).
+const Settled = 2 * time.Second
+
+// Begin tells that the process begins now. Until Settled nothing is allowed: the
+// process before it on the same VM may have sent its part just now, and VMs that
+// start together don't know each other yet.
+func (r *Rate) Begin(now time.Time) { r.from = now.Add(Settled) }
+
 // Allows reports whether another event keeps within perSecond.
 func (r *Rate) Allows(now time.Time, perSecond int) bool {
 	for len(r.times) > 0 && now.Sub(r.times[0]) >= second {
 		r.times = r.times[1:]
 	}
-	return len(r.times) < perSecond
+	return len(r.times) < perSecond && !now.Before(r.from)
 }
 
 // Count takes an event.
--- a/internal/direct/beliefs.go
+++ b/internal/direct/beliefs.go
@@ -180,6 +180,7 @@
 			peer:     link.NewPeer(b.ID, b.Addr, s.connectionLimit(b.Pool, s.distance(b.Zone)), s.opts.Codec, s.opts.Dial, s.metrics.count),
 			distance: s.distance(b.Zone),
 		}
+		r.cold.Begin(s.begun)
 		s.replicas[b.ID] = r
 	}
 	if r.belief.State != b.State {
@@ -236,19 +237,11 @@
 	}
 }
 
-// vms is the number of VMs among which bounds are shared out. s.mu is held.
-func (s *Service) vms() int {
-	if len(s.fleet) == 0 {
-		return fleetGuess
-	}
-	return len(s.fleet)
-}
-
 // slack is this VM's part of the fleet's slack for extra sends. s.mu is held.
-func (s *Service) slack() float64 { return s.opts.RetrySlack * slackUsed / float64(s.vms()) }
+func (s *Service) slack() float64 { return share.Slack(s.opts.RetrySlack, s.fleet) }
 
 func (s *Service) newBudget() *retry.Shared {
-	return retry.NewShared(s.opts.RetryShare*shareUsed, s.slack())
+	return retry.NewShared(share.Ratio(s.opts.RetryShare), s.slack(), s.begun)
 }
 
 // connectionLimit is this VM's part of a replica's connections. s.mu is held.
@@ -256,7 +249,7 @@
 	if s.now == nil || s.now.tables.Pools[name] == nil {
 		return leastConnections
 	}
-	even := float64(s.now.tables.Pools[name].Connections) / float64(s.vms())
+	even := float64(s.now.tables.Pools[name].Connections) / float64(share.VMs(s.fleet))
 	if d != placement.OtherRegion {
 		even *= nearConnections
 	}
@@ -271,10 +264,7 @@
 		return 0, false
 	}
 	total := int(p.ColdRate*s.opts.ColdOverage) + s.opts.ColdSlack
-	if len(s.fleet) == 0 {
-		return total / fleetGuess, true
-	}
-	return share.Of(total, b.ID, s.opts.Node, s.fleet), true
+	return share.ColdRate(total, b.ID, s.opts.Node, s.fleet), true
 }
 
 func (s *Service) distance(zone string) placement.Distance {
--- a/internal/direct/options.go
+++ b/internal/direct/options.go
@@ -21,15 +21,13 @@
 	// request, and RetrySlack how many the whole fleet may make beside.
 	RetryShare float64
 	RetrySlack float64
+	// Begun is when the process began; zero: now. What all VMs share out is held
+	// back for a while after it.
+	Begun time.Time
 }
 
 // The constants of the service.
 const (
-	// shareUsed and slackUsed are the parts of the fleet's bound on extra sends
-	// that are used. The rest covers windows that cut a burst in two and
-	// requests that never arrived.
-	shareUsed = 0.85
-	slackUsed = 0.8
 	// answerMargin is how long before the objective an answer without all parts
 	// goes out: the way to the caller, merging and late timers.
 	answerMargin = 12 * time.Millisecond
@@ -67,9 +65,6 @@
 	// reportEvery is the time between two lines with all counters, for whoever
 	// has only the logs.
 	reportEvery = 30 * time.Second
-	// fleetGuess is the number of VMs that share what is bounded for all while
-	// nothing is known of the fleet: today's larger deployment.
-	fleetGuess = 10
 	// leastConnections is the number of connections to a replica that a VM may
 	// hold however many VMs there are: one for a hedge, one for what comes next.
 	leastConnections = 2
--- a/internal/direct/service.go
+++ b/internal/direct/service.go
@@ -42,6 +42,8 @@
 	tracer  trace.Tracer // nil: none
 	extract func(context.Context, string) context.Context
 
+	begun time.Time // of the process
+
 	mu        sync.Mutex // guards all below
 	now       *inForce   // nil: no tables yet
 	upstreams *discovery.Machine
@@ -62,8 +64,12 @@
 
 // New returns a service that knows nothing yet.
 func New(o Options, log zerolog.Logger) *Service {
+	if o.Begun.IsZero() {
+		o.Begun = time.Now()
+	}
 	return &Service{
-		opts: o, log: telemetry.NewBudgeted(log), metrics: newMetrics(),
+		begun: o.Begun,
+		opts:  o, log: telemetry.NewBudgeted(log), metrics: newMetrics(),
 		upstreams: discovery.New(), zonesOut: map[string]bool{}, replicas: map[string]*replica{},
 		pools: map[string]*pool{}, routes: map[string]*routeStats{}, poison: poison.NewTracker(),
 		rng:  rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -12,6 +12,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/sapphirewall/sapphirewall/internal/decide/census"
 	"github.com/sapphirewall/sapphirewall/internal/kernel"
 	"github.com/sapphirewall/sapphirewall/internal/platform"
 )
@@ -23,7 +24,7 @@
 const (
 	// ttl is the life of an entry without renewal: a VM that is restarted or
 	// paused for a moment keeps its place.
-	ttl = 30 * time.Second
+	ttl = census.Keep
 	// renewEvery leaves room for two renewals that fail.
 	renewEvery = 10 * time.Second
 	// countEvery is the time between two counts: VMs come and go seldom.
@@ -31,9 +32,6 @@
 	// nextCount is how long after the start all VMs that started together have
 	// entered.
 	nextCount = 1500 * time.Millisecond
-	// keep is how long a VM is counted after its entry was last seen: what was
-	// shared out among more VMs is safe among fewer, not the other way round.
-	keep = 30 * time.Second
 )
 
 // Store is what the roster uses of the platform's store.
@@ -63,10 +61,13 @@
 	log    zerolog.Logger
 
 	lease platform.LeaseID // 0: none
-	nodes map[string]Node
-	seen  map[string]time.Time
 	lost  bool
 
+	mu    sync.Mutex // guards the fields below, and the order of what is told
+	knows bool       // all VMs have been counted once, here or by another one
+	nodes map[string]Node
+	book  *census.Book
+
 	stop context.CancelFunc
 	wg   sync.WaitGroup
 }
@@ -75,7 +76,7 @@
 // them, whenever they have been counted, and once with none if the store can't
 // be reached at the start.
 func New(store Store, prefix string, self Node, tell func(nodes []Node), log zerolog.Logger) *Service {
-	return &Service{store: store, prefix: prefix, self: self, tell: tell, log: log, nodes: map[string]Node{}, seen: map[string]time.Time{}}
+	return &Service{store: store, prefix: prefix, self: self, tell: tell, log: log, nodes: map[string]Node{}, book: census.New(self.Name)}
 }
 
 // Name implements kernel.Service.
@@ -108,7 +109,7 @@
 	err := s.count(ctx, time.Now())
 	s.report("count", err)
 	if err != nil {
-		s.tell(nil) // nobody need wait for what can't be known now
+		s.giveUp()
 	}
 	s.report("enter", s.enter(ctx))
 	renew := time.NewTicker(renewEvery)
@@ -128,6 +129,15 @@
 	}
 }
 
+// giveUp tells that nothing is known, so that nobody waits for it.
+func (s *Service) giveUp() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.knows {
+		s.tell(nil)
+	}
+}
+
 // enter makes the VM's entry, or takes over that of an earlier process of it.
 func (s *Service) enter(ctx context.Context) error {
 	lease, err := s.store.Grant(ctx, ttl)
@@ -158,27 +168,45 @@
 	if err != nil {
 		return err
 	}
+	nodes := make([]Node, 0, len(entries))
 	for _, e := range entries {
-		name := strings.TrimPrefix(e.Key, s.prefix)
 		zone, addr, _ := strings.Cut(string(e.Value), " ")
-		s.nodes[name] = Node{Name: name, Zone: zone, Addr: addr}
-		s.seen[name] = now
+		nodes = append(nodes, Node{Name: strings.TrimPrefix(e.Key, s.prefix), Zone: zone, Addr: addr})
+	}
+	s.take(now, nodes, true)
+	return nil
+}
+
+// Learn takes VMs that another one counts, or that have been met. They are
+// counted here too until they have not been seen for long, so that no bound is
+// shared out among fewer when the entries of some have lapsed meanwhile. A VM
+// that knows none doesn't take those that it has met for all.
+func (s *Service) Learn(nodes []Node, all bool) { s.take(time.Now(), nodes, all) }
+
+// take counts nodes as seen now, and tells all that count.
+func (s *Service) take(now time.Time, seen []Node, all bool) {
+	if len(seen) == 0 {
+		return // nobody has entered yet, not this VM either
 	}
-	if len(entries) == 0 {
-		return nil // nobody has entered yet, not this VM either
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	names := make([]string, 0, len(seen))
+	for _, n := range seen {
+		s.nodes[n.Name] = n
+		names = append(names, n.Name)
 	}
-	s.nodes[s.self.Name], s.seen[s.self.Name] = s.self, now
-	var nodes []Node
-	for name, at := range s.seen {
-		if now.Sub(at) > keep {
-			delete(s.seen, name)
-			delete(s.nodes, name)
-			continue
-		}
+	s.nodes[s.self.Name] = s.self
+	s.book.Count(now, names)
+	counted := map[string]Node{}
+	nodes := make([]Node, 0, len(s.nodes))
+	for _, name := range s.book.Nodes() {
+		counted[name] = s.nodes[name]
 		nodes = append(nodes, s.nodes[name])
 	}
-	s.tell(nodes)
-	return nil
+	s.nodes = counted
+	if s.knows = s.knows || all; s.knows {
+		s.tell(nodes)
+	}
 }
 
 // report logs when a call fails after others succeeded, and the return.
--- a/internal/storerelay/neighbours.go
+++ b/internal/storerelay/neighbours.go
@@ -33,9 +33,9 @@
 // It is called before Start.
 func (s *Service) Seed(addrs []string) { s.seeds = addrs }
 
-// Learned sets what is told the VMs that a neighbour knows, when this VM could
-// not count them itself. It is called before Start.
-func (s *Service) Learned(tell func([]roster.Node)) { s.learned = tell }
+// Learned sets what is told of other VMs: all that a neighbour knows, or one that
+// has been met. It is called before Start.
+func (s *Service) Learned(tell func(nodes []roster.Node, all bool)) { s.learned = tell }
 
 // readers returns the addresses of the VMs but self that read the store
 // themselves.
@@ -157,6 +157,21 @@
 	return best.addr, best.reply
 }
 
+// meet asks the seeds which VMs they know: the entries of some may have lapsed in
+// an outage, and bounds must not be shared out among the rest alone.
+func (s *Service) meet(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, neighbourTimeout)
+	defer cancel()
+	for _, addr := range s.neighbours(time.Now()) {
+		reply, err := s.call(ctx, addr, &swpb.StoreRequest{Snapshot: true, Asker: toNode(s.self)})
+		if err != nil {
+			s.log.Debug().Err(err).Str("neighbour", addr).Msg("seed can't be asked")
+			continue
+		}
+		s.learn(reply.GetNodes())
+	}
+}
+
 // tells reports whether a reply comes from a VM that has the store.
 func tells(r *swpb.StoreReply) bool {
 	return r.GetStatus() == swpb.StoreStatus_STORE_STATUS_OK || r.GetStatus() == swpb.StoreStatus_STORE_STATUS_COMPACTED
@@ -170,22 +185,22 @@
 	return changes(r), nil, true
 }
 
-// learn takes the VMs that a neighbour knows, if this one knows none.
+// learn takes the VMs that a neighbour knows, or one that was met: a VM that
+// knows no other tells of itself alone, and once more if it knows them.
 func (s *Service) learn(known []*swpb.StoreNode) {
-	s.mu.Lock()
-	unknown := len(s.nodes) == 0
-	s.mu.Unlock()
-	if !unknown || len(known) == 0 || s.learned == nil {
-		return
-	}
-	nodes := make([]roster.Node, 0, len(known)+1)
+	var nodes []roster.Node
 	for _, n := range known {
-		nodes = append(nodes, roster.Node{Name: n.GetName(), Zone: n.GetZone(), Addr: n.GetAddr()})
+		if n.GetName() != "" {
+			nodes = append(nodes, roster.Node{Name: n.GetName(), Zone: n.GetZone(), Addr: n.GetAddr()})
+		}
 	}
-	if !slices.ContainsFunc(nodes, func(n roster.Node) bool { return n.Name == s.self.Name }) {
-		nodes = append(nodes, s.self)
+	if len(nodes) > 0 && s.learned != nil {
+		s.learned(nodes, len(nodes) > 1)
 	}
-	s.learned(nodes)
+}
+
+func toNode(n roster.Node) *swpb.StoreNode {
+	return &swpb.StoreNode{Name: n.Name, Zone: n.Zone, Addr: n.Addr}
 }
 
 func (s *Service) setNeighbour(addr, what, prefix string) {
--- a/internal/storerelay/serve.go
+++ b/internal/storerelay/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/sapphirewall/sapphirewall/internal/peer"
@@ -17,7 +18,7 @@
 	s.mu.Lock()
 	m := s.mirrors[req.GetPrefix()]
 	reads := s.direct && s.reads[req.GetPrefix()]
-	nodes := s.nodes
+	nodes := slices.Clone(s.nodes)
 	s.mu.Unlock()
 	reply := &swpb.StoreReply{Status: swpb.StoreStatus_STORE_STATUS_NO_RELAY}
 	if m != nil && reads {
@@ -27,8 +28,9 @@
 		reply = recalled(m)
 	}
 	if req.GetSnapshot() {
-		for _, n := range nodes {
-			reply.Nodes = append(reply.Nodes, &swpb.StoreNode{Name: n.Name, Zone: n.Zone, Addr: n.Addr})
+		s.learn([]*swpb.StoreNode{req.GetAsker()})
+		for _, n := range append(nodes, s.self) {
+			reply.Nodes = append(reply.Nodes, toNode(n))
 		}
 	}
 	return &swpb.Envelope{Body: &swpb.Envelope_StoreReply{StoreReply: reply}}, nil
--- a/internal/storerelay/service.go
+++ b/internal/storerelay/service.go
@@ -76,7 +76,7 @@
 	log   zerolog.Logger
 
 	seeds   []string // addresses of VMs to ask while none is known
-	learned func([]roster.Node)
+	learned func(nodes []roster.Node, all bool)
 
 	mu      sync.Mutex // guards all below
 	mirrors map[string]*Mirror
@@ -131,6 +131,7 @@
 		return eris.Wrapf(err, "listen on [direct] relay = %s", s.self.Addr)
 	}
 	s.server = peer.Serve(ln, s.opts, peer.HandlerFunc(s.handle))
+	go s.meet(context.Background())
 	return nil
 }
 
