Ask for the known VMs at a start in parallel, and test each part of the hold

Reading: a seed that hears nothing used up the whole time for the question which VMs are known. Each is asked by itself now.

--- a/internal/decide/retry/shared_test.go
+++ b/internal/decide/retry/shared_test.go
@@ -52,6 +52,16 @@
 		Expect(hedges).To(BeNumerically(">=", 40))
 	})
 
+	It("has no slack in the first window of a process, and its share of first sends at once", func() {
+		now := time.Unix(1000, 0)
+		s := retry.NewShared(0.5, 4, now)
+		Expect(s.TakeRetry(now)).To(BeFalse())
+		s.Fresh(now)
+		s.Fresh(now)
+		Expect(s.TakeRetry(now)).To(BeTrue())
+		Expect(s.TakeRetry(now.Add(retry.Window))).To(BeTrue())
+	})
+
 	It("leaves a reserve for parts that have failed", func() {
 		now := time.Unix(1000, 0)
 		s := retry.NewShared(0, 4, time.Time{})
--- a/internal/decide/share/share_test.go
+++ b/internal/decide/share/share_test.go
@@ -42,6 +42,14 @@
 	Expect(share.Of(8, "a", "stranger", fleet(9))).To(BeZero())
 })
 
+var _ = It("allows nothing until VMs that started together know each other", func() {
+	var r share.Rate
+	now := time.Unix(1000, 0)
+	r.Begin(now)
+	Expect(r.Allows(now.Add(share.Settled-1), 3)).To(BeFalse())
+	Expect(r.Allows(now.Add(share.Settled), 3)).To(BeTrue())
+})
+
 var _ = It("bounds the events of any second", func() {
 	var r share.Rate
 	now := time.Unix(1000, 0)
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -100,6 +100,27 @@
 		Expect(nodes).To(ConsistOf(self))
 	})
 
+	It("goes on counting the VMs that another one knows when their entries have lapsed", func() {
+		told := make(chan []roster.Node, 10)
+		r := roster.New(&store{}, "vms/", self, func(nodes []roster.Node) { told <- nodes }, zerolog.New(GinkgoWriter))
+		r.Learn([]roster.Node{other}, true)
+		Expect(<-told).To(ConsistOf(self, other))
+		Expect(r.Start(context.Background(), nil)).To(Succeed())
+		DeferCleanup(func() { Expect(r.Stop(context.Background())).To(Succeed()) })
+		var nodes []roster.Node
+		Eventually(told, "4s").Should(Receive(&nodes)) // the store has this VM's entry alone
+		Expect(nodes).To(ConsistOf(self, other))
+	})
+
+	It("does not take a VM that it has met for all", func() {
+		told := make(chan []roster.Node, 10)
+		r := roster.New(&store{}, "vms/", self, func(nodes []roster.Node) { told <- nodes }, zerolog.New(GinkgoWriter))
+		r.Learn([]roster.Node{other}, false)
+		Expect(told).NotTo(Receive())
+		r.Learn([]roster.Node{{Name: "vm-3", Zone: "b"}}, true)
+		Expect(<-told).To(HaveLen(3))
+	})
+
 	It("tells that nobody is known while the store is down, and enters once it is back", func() {
 		st := &store{down: true}
 		told := start(st)
--- a/internal/storerelay/neighbours.go
+++ b/internal/storerelay/neighbours.go
@@ -157,18 +157,20 @@
 	return best.addr, best.reply
 }
 
-// meet asks the seeds which VMs they know: the entries of some may have lapsed in
-// an outage, and bounds must not be shared out among the rest alone.
+// meet asks some VMs which others they know: the entries of some may have lapsed
+// in an outage, and bounds must not be shared out among the rest alone.
 func (s *Service) meet(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, neighbourTimeout)
-	defer cancel()
 	for _, addr := range s.neighbours(time.Now()) {
-		reply, err := s.call(ctx, addr, &swpb.StoreRequest{Snapshot: true, Asker: toNode(s.self)})
-		if err != nil {
-			s.log.Debug().Err(err).Str("neighbour", addr).Msg("seed can't be asked")
-			continue
-		}
-		s.learn(reply.GetNodes())
+		go func() {
+			ctx, cancel := context.WithTimeout(ctx, neighbourTimeout)
+			defer cancel()
+			reply, err := s.call(ctx, addr, &swpb.StoreRequest{Snapshot: true, Asker: toNode(s.self)})
+			if err != nil {
+				s.log.Debug().Err(err).Str("neighbour", addr).Msg("neighbour can't be asked for the VMs that it knows")
+				return
+			}
+			s.learn(reply.GetNodes())
+		}()
 	}
 }
 
--- a/internal/storerelay/service.go
+++ b/internal/storerelay/service.go
@@ -111,7 +111,9 @@
 	}
 	return &Service{
 		store: store, self: self, opts: o, pool: peer.NewPool(o), log: log,
-		mirrors: map[string]*Mirror{}, direct: true, resting: map[string]time.Time{}, byRelay: map[string]bool{}, recalled: map[string]platform.Changes{}, reads: map[string]bool{}, polled: map[string]time.Time{}, neighbour: map[string]string{}, known: make(chan struct{}),
+		mirrors: map[string]*Mirror{}, direct: true, resting: map[string]time.Time{}, byRelay: map[string]bool{},
+		recalled: map[string]platform.Changes{}, reads: map[string]bool{}, polled: map[string]time.Time{},
+		neighbour: map[string]string{}, known: make(chan struct{}),
 	}
 }
 
@@ -131,7 +133,7 @@
 		return eris.Wrapf(err, "listen on [direct] relay = %s", s.self.Addr)
 	}
 	s.server = peer.Serve(ln, s.opts, peer.HandlerFunc(s.handle))
-	go s.meet(context.Background())
+	s.meet(context.Background())
 	return nil
 }
 
