--- a/internal/storerelay/neighbours_test.go
+++ b/internal/storerelay/neighbours_test.go
@@ -114,7 +114,7 @@
 	})
 })
 
-// VMs that hear of each other must not take each other's word for the store's:
+// VMs that read through each other must not tell of a store that none of them has:
 // in a silence for all, one that had just fallen back on the store answered as
 // if it had it (deploy/days/outage-then-kill-all on ishikari, seed
 // 1017067852339: CONFIG).
