Log what a VM counts against a request that crashes replicas, and what ends it

A suspect line now has the crashes counted, counted and refused, and is written for crashes that don't count too; an answer that ends a suspicion has a line; a refusal for poison names its fingerprint. Counters suspect_crash and suspect_answered.

--- a/internal/decide/poison/tracker.go
+++ b/internal/decide/poison/tracker.go
@@ -71,6 +71,10 @@
 	return refuse(now, t.suspects[fp])
 }
 
+// Crashes returns the number of crashes recorded for a fingerprint, at most
+// Threshold.
+func (t *Tracker) Crashes(fp uint64) int { return len(t.suspects[fp]) }
+
 // Suspects removes the expired suspects and returns the others, ordered by
 // fingerprint.
 func (t *Tracker) Suspects(now time.Time) []Suspect {
--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -184,15 +184,18 @@
 // observeCrash records whether the request may have crashed the replica: its
 // connection was lost after the request may have been executed. s.mu is held.
 func (a *attempt) observeCrash(now time.Time) {
-	s, w := a.call.s, &a.wire
+	s, w, fp := a.call.s, &a.wire, a.call.fingerprint
 	switch {
 	case w.Reply != nil && !w.Reply.NotRun:
-		s.poison.RecordAnswer(a.call.fingerprint)
-	case w.Err != nil && w.Err.Cause == verdict.ConnectionLost && w.Err.Outcome == verdict.MayHaveRun:
-		if s.poison.RecordCrash(now, []uint64{a.call.fingerprint}) {
-			s.log.Info("suspect").Str("id", a.call.req.ID).Str("upstream", a.replica.status.ID).
-				Uint64("fingerprint", a.call.fingerprint).Msg("connection lost with this request in flight")
+		if s.poison.RecordAnswer(fp) {
+			s.metrics.add("suspect_answered", 1)
+			s.suspectLine(a).Int("status", w.Reply.Status).Msg("suspicion ended by an answer")
 		}
+	case w.Err != nil && w.Err.Cause == verdict.ConnectionLost && w.Err.Outcome == verdict.MayHaveRun:
+		counted := s.poison.RecordCrash(now, []uint64{fp})
+		_, refused := s.poison.Refuse(now, fp)
+		s.metrics.add("suspect_crash", 1)
+		s.suspectLine(a).Bool("counted", counted).Bool("refused", refused).Msg("connection lost with this request in flight")
 	}
 }
 
--- a/internal/direct/log.go
+++ b/internal/direct/log.go
@@ -18,9 +18,19 @@
 	if c != nil {
 		e = e.Str("route", c.route.Name).Uint64("revision", c.rev.tables.Revision).Dur("revision_age", time.Since(c.rev.since))
 	}
+	if v.Cause == verdict.Poison {
+		e = e.Uint64("fingerprint", c.fingerprint)
+	}
 	e.Msg("request refused before any attempt")
 }
 
+// suspectLine begins a log line on the suspicion against the request of an attempt,
+// with the crashes counted so far. s.mu is held.
+func (s *Service) suspectLine(a *attempt) *zerolog.Event {
+	return s.log.Info("suspect").Str("id", a.call.req.ID).Str("upstream", a.replica.status.ID).Stringer("extra", a.kind).
+		Uint64("fingerprint", a.call.fingerprint).Int("crashes", s.poison.Crashes(a.call.fingerprint))
+}
+
 // logUnsent logs that a planned attempt was not sent. s.mu is held.
 func (s *Service) logUnsent(c *call, p *pool, r *replica, planned gather.Attempt, now time.Time, reason string) {
 	s.metrics.add("unsent_"+planned.Kind.String(), 1)
