Send no retry of a request that has crashed three replicas

Cause: the refusal was checked only when a request arrives. Retries and hedges of requests in progress were planned without it.

--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -42,6 +42,8 @@
 	r := c.choose(now, p, planned.Part)
 	reason := ""
 	switch {
+	case s.crashesReplicas(now, c):
+		reason = "requests like this one crash replicas"
 	case r == nil:
 		reason = "no replica is left for the part"
 	case c.shouldSkip(now, r):
@@ -71,6 +73,13 @@
 	return a
 }
 
+// crashesReplicas reports whether the request of a call must not be sent any more.
+// s.mu is held.
+func (s *Service) crashesReplicas(now time.Time, c *call) bool {
+	_, yes := s.poison.Refuse(now, c.fingerprint)
+	return yes
+}
+
 // attemptDeadline is when a replica may stop working on an attempt. A query is
 // answered at its latency objective without the late parts, so first attempts are
 // useless after it. Their earlier deadline makes a replica with a queue drop them
