Let only a success end the suspicion that a request crashes replicas

Cause: any reply ended the suspicion, also a 5xx of a replica that fails part of its requests before it executes them. A success is the only reply that shows a whole execution.

--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -191,11 +191,13 @@
 }
 
 // observeCrash records whether the request may have crashed the replica: its
-// connection was lost after the request may have been executed. s.mu is held.
+// connection was lost after the request may have been executed. Only a success is
+// proof of the contrary, since a replica that fails for other reasons may reply with
+// an error before it executes the request. s.mu is held.
 func (a *attempt) observeCrash(now time.Time) {
 	s, w, fp := a.call.s, &a.wire, a.call.fingerprint
 	switch {
-	case w.Reply != nil && !w.Reply.NotRun:
+	case w.Reply != nil && w.Reply.OK():
 		if s.poison.RecordAnswer(fp) {
 			s.metrics.add("suspect_answered", 1)
 			s.suspectLine(a).Int("status", w.Reply.Status).Msg("suspicion ended by an answer")
