Let only a successful run end the suspicion in sw-egress too

The same fault as in the direct path, in the three-process form: an attempt that ended with an upstream's error cleared the suspicion of its request at that owner.

--- a/internal/egress/egress_test.go
+++ b/internal/egress/egress_test.go
@@ -305,6 +305,28 @@
 		Expect(reply.GetVerdict()).To(BeNil())
 	})
 
+	// Guards against taking a failed execution for proof that a request is harmless.
+	It("refuses a request that crashes upstreams although some of its runs end with an error", func() {
+		u := newFakeUpstream()
+		var runs atomic.Int32
+		u.handler.Store(fasthttp.RequestHandler(func(ctx *fasthttp.RequestCtx) {
+			if runs.Add(1)%2 == 0 {
+				ctx.SetStatusCode(fasthttp.StatusInternalServerError)
+				return
+			}
+			u.starts.Add(1)
+			ctx.HijackSetNoResponse(true)
+			ctx.Hijack(func(nc net.Conn) { _ = nc.Close() })
+		}))
+		fx := newFixture(state(u, func(*tables.Tables) {}))
+		Eventually(func() verdict.Cause {
+			reply, err := fx.send(context.Background(), "r", testTimeout)
+			Expect(err).NotTo(HaveOccurred())
+			time.Sleep(60 * time.Millisecond)
+			return verdict.Cause(reply.GetVerdict().GetCause())
+		}).WithTimeout(testTimeout).Should(Equal(verdict.Poison))
+	})
+
 	It("finishes the attempts in flight before it stops", func() {
 		u := newFakeUpstream()
 		release := make(chan struct{})
--- a/internal/egress/poison.go
+++ b/internal/egress/poison.go
@@ -66,13 +66,14 @@
 	return out
 }
 
-// recordEvidence records what the end of an attempt shows about its request. A
-// lost connection alone is not counted as a crash: the next poll of the
-// upstream's status, which is triggered at once, decides.
+// recordEvidence records what the end of an attempt shows about its request. Only
+// a success shows that the request is harmless: an upstream may fail for other
+// reasons before it executes it. A lost connection alone is not counted as a crash:
+// the next poll of the upstream's status, which is triggered at once, decides.
 func (r *replica) recordEvidence(fp uint64, startID string, v *verdict.Error) {
 	switch {
 	case fp == 0:
-	case v == nil || v.Outcome == verdict.RanFailed:
+	case v == nil:
 		if r.s.suspects.recordAnswer(fp) {
 			r.s.replicas.publish()
 		}
