Share among all VMs which requests crash replicas

Cause: each VM counted for itself and forgot with its process. A request that comes again reaches another VM, so eight VMs allowed 24 rounds. The class: a bound on the whole fleet, kept by evidence that stays on one VM. A second cause in the same count: crashes within 50 ms were one, so a retry that crashed the next replica at once did not count.

Change: decide/poison gets a Ledger for the direct path. It counts a chain of crashes: an attempt counts if it was sent after the VM knew of the crash before it. That needs no window and no clock, and two VMs combine their chains by taking the longer. internal/suspects keeps the chain in the store, one leased entry a request, written with a condition when a request ends without an answer, and deleted when one is answered. Why it works: whatever VM the request reaches adds one to the chain that the store holds, or knows it already; propagation is a write and a watch, well below contactMs; a VM that starts reads the entries.

Ruled out: telling VMs directly (a cut between VMs leaves them in touch with the store), one entry a VM (is overwritten or expires when it restarts).

--- a/internal/decide/poison/doc.go
+++ b/internal/decide/poison/doc.go
@@ -1,8 +1,14 @@
 // Package poison detects requests whose execution is followed by a crash of the
-// upstream. Each owner of replicas keeps a Tracker; an entry process merges the
-// suspects of all owners in an Aggregator and refuses their requests.
+// upstream.
 //
-// Invariant: a request is refused only after Threshold crashes at distinct
-// times, each with the request in flight at the replica that crashed, and with
-// no attempt of it answered at that owner since.
+// With owners of replicas, each owner keeps a Tracker; an entry process merges the
+// suspects of all owners in an Aggregator and refuses their requests. A request is
+// refused only after Threshold crashes at distinct times, each with the request in
+// flight at the replica that crashed, and with no attempt of it answered at that
+// owner since.
+//
+// On the direct path each VM keeps a Ledger, and the VMs share their suspicions
+// through the store. A request is refused only after a chain of Threshold crashes,
+// each caused by an attempt that was sent after the crash before it was known, and
+// with no attempt of it answered since at a VM that knew of them.
 package poison
--- a/internal/decide/poison/tracker.go
+++ b/internal/decide/poison/tracker.go
@@ -13,9 +13,9 @@
 	// are in flight at these. Counted one by one, the crashes would reach Threshold
 	// for those queries too.
 	crashWindow = 50 * time.Millisecond
-	// suspicionTTL is the time after the last crash at which a suspicion
+	// SuspicionTTL is the time after the last crash at which a suspicion
 	// expires.
-	suspicionTTL = 5 * time.Minute
+	SuspicionTTL = 5 * time.Minute
 	// maxSuspects bounds the suspects of a tracker and of one source's list.
 	maxSuspects = 512
 )
@@ -71,10 +71,6 @@
 	return refuse(now, t.suspects[fp])
 }
 
-// Crashes returns the number of crashes recorded for a fingerprint, at most
-// Threshold.
-func (t *Tracker) Crashes(fp uint64) int { return len(t.suspects[fp]) }
-
 // Suspects removes the expired suspects and returns the others, ordered by
 // fingerprint.
 func (t *Tracker) Suspects(now time.Time) []Suspect {
@@ -119,12 +115,12 @@
 }
 
 func isExpired(now time.Time, crashes []time.Time) bool {
-	return len(crashes) == 0 || now.Sub(crashes[len(crashes)-1]) >= suspicionTTL
+	return len(crashes) == 0 || now.Sub(crashes[len(crashes)-1]) >= SuspicionTTL
 }
 
 func refuse(now time.Time, crashes []time.Time) (time.Duration, bool) {
 	if len(crashes) < Threshold || isExpired(now, crashes) {
 		return 0, false
 	}
-	return suspicionTTL - now.Sub(crashes[len(crashes)-1]), true
+	return SuspicionTTL - now.Sub(crashes[len(crashes)-1]), true
 }
--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -76,7 +76,7 @@
 // crashesReplicas reports whether the request of a call must not be sent any more.
 // s.mu is held.
 func (s *Service) crashesReplicas(now time.Time, c *call) bool {
-	_, yes := s.poison.Refuse(now, c.fingerprint)
+	_, yes := s.suspects.Refuse(now, c.fingerprint)
 	return yes
 }
 
@@ -198,13 +198,16 @@
 	s, w, fp := a.call.s, &a.wire, a.call.fingerprint
 	switch {
 	case w.Reply != nil && w.Reply.OK():
-		if s.poison.RecordAnswer(fp) {
+		if s.suspects.RecordAnswer(now, fp) {
 			s.metrics.add("suspect_answered", 1)
 			s.suspectLine(a).Int("status", w.Reply.Status).Msg("suspicion ended by an answer")
 		}
 	case w.Err != nil && w.Err.Cause == verdict.ConnectionLost && w.Err.Outcome == verdict.MayHaveRun:
-		counted := s.poison.RecordCrash(now, []uint64{fp})
-		_, refused := s.poison.Refuse(now, fp)
+		counted := s.suspects.RecordCrash(now, w.SentAt, fp)
+		if a.call.unanswered {
+			s.suspects.RecordEnd(fp)
+		}
+		_, refused := s.suspects.Refuse(now, fp)
 		s.metrics.add("suspect_crash", 1)
 		s.suspectLine(a).Bool("counted", counted).Bool("refused", refused).Msg("connection lost with this request in flight")
 	}
--- a/internal/direct/log.go
+++ b/internal/direct/log.go
@@ -28,7 +28,7 @@
 // with the crashes counted so far. s.mu is held.
 func (s *Service) suspectLine(a *attempt) *zerolog.Event {
 	return s.log.Info("suspect").Str("id", a.call.req.ID).Str("upstream", a.replica.status.ID).Stringer("extra", a.kind).
-		Uint64("fingerprint", a.call.fingerprint).Int("crashes", s.poison.Crashes(a.call.fingerprint))
+		Uint64("fingerprint", a.call.fingerprint).Int("crashes", s.suspects.Crashes(a.call.fingerprint))
 }
 
 // logUnsent logs that a planned attempt was not sent. s.mu is held.
--- a/internal/direct/serve.go
+++ b/internal/direct/serve.go
@@ -54,6 +54,7 @@
 	failedReply *connpool.Reply // reply of a replica that failed to execute the request
 	sentByKind  [3]int          // attempts sent, by gather.Kind
 	span        trace.Span      // nil: not sampled
+	unanswered  bool            // the call has ended without an answer; guarded by s.mu
 }
 
 // attempt is one attempt of a call.
@@ -78,6 +79,7 @@
 	}
 	c.span = span
 	ans := c.run()
+	c.recordEnd(ans)
 	s.logEnd(c, ans)
 	endSpan(span, c, ans)
 	return ans
@@ -97,7 +99,7 @@
 		return nil, verdict.Newf(verdict.NotRun, verdict.UnknownRoute, "no route for this host and path at revision %d", rev.tables.Revision)
 	}
 	c := &call{s: s, req: req, rev: rev, route: route, fingerprint: fingerprint(req)}
-	if after, poisoned := s.poison.Refuse(req.Arrived, c.fingerprint); poisoned {
+	if after, poisoned := s.suspects.Refuse(req.Arrived, c.fingerprint); poisoned {
 		return c, verdict.New(verdict.NotRun, verdict.Poison, "requests like this one crash upstreams").WithRetryAfter(after)
 	}
 	limit := route.Deadline
@@ -292,6 +294,18 @@
 	return &Answer{Refusal: c.refusal(verdict.LowCoverage, "the needed parts can't be had")}
 }
 
+// recordEnd shares what is suspected of a request that ends without an answer. Its
+// attempts in flight may still crash replicas.
+func (c *call) recordEnd(a *Answer) {
+	if a.Gathered != nil || a.Reply != nil && a.Reply.OK() {
+		return
+	}
+	c.s.mu.Lock()
+	c.unanswered = true
+	c.s.mu.Unlock()
+	c.s.suspects.RecordEnd(c.fingerprint)
+}
+
 // merge merges the parts received.
 func (c *call) merge() *Gathered {
 	g := &Gathered{}
--- a/internal/direct/service.go
+++ b/internal/direct/service.go
@@ -10,9 +10,9 @@
 	"github.com/rs/zerolog"
 
 	"github.com/sapphirewall/sapphirewall/internal/decide/discovery"
-	"github.com/sapphirewall/sapphirewall/internal/decide/poison"
 	"github.com/sapphirewall/sapphirewall/internal/kernel"
 	"github.com/sapphirewall/sapphirewall/internal/routes"
+	"github.com/sapphirewall/sapphirewall/internal/suspects"
 	"github.com/sapphirewall/sapphirewall/internal/tables"
 	"github.com/sapphirewall/sapphirewall/internal/telemetry"
 )
@@ -40,6 +40,8 @@
 	log     *telemetry.RateLimitedLogger
 	metrics metrics
 	tracer  *telemetry.Tracer // nil: none
+	// suspects has the requests that are suspected of crashing replicas.
+	suspects *suspects.Board
 
 	startedAt time.Time // of the process
 
@@ -51,7 +53,6 @@
 	replicas          map[string]*replica // by upstream ID
 	pools             map[string]*pool
 	routes            map[string]*routeStats
-	poison            *poison.Tracker
 	rng               *rand.Rand
 	fleet             []string  // serving VMs; empty: not known
 	unavailableSince  time.Time // start of the store's outage; zero: available
@@ -70,12 +71,17 @@
 		startedAt: o.StartedAt,
 		opts:      o, log: telemetry.NewRateLimitedLogger(log), metrics: newMetrics(),
 		upstreams: discovery.New(), zonesOutOfService: map[string]bool{}, replicas: map[string]*replica{},
-		pools: map[string]*pool{}, routes: map[string]*routeStats{}, poison: poison.NewTracker(),
-		rng:  rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-		wake: make(chan struct{}, 1), done: make(chan struct{}),
+		pools: map[string]*pool{}, routes: map[string]*routeStats{},
+		suspects: suspects.NewBoard(),
+		rng:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		wake:     make(chan struct{}, 1), done: make(chan struct{}),
 	}
 }
 
+// Suspects returns the requests that are suspected of crashing replicas, for the
+// service that shares them with the other VMs.
+func (s *Service) Suspects() *suspects.Board { return s.suspects }
+
 // Name implements kernel.Service.
 func (s *Service) Name() string { return ServiceName }
 
--- a/internal/storerelay/service.go
+++ b/internal/storerelay/service.go
@@ -30,6 +30,8 @@
 	// minZoneVMs is the number of VMs from which a zone uses relays. In a smaller
 	// zone they save few calls and add a hop to every change.
 	minZoneVMs = 6
+	// vmListTimeout bounds the wait of the first read for the list of VMs.
+	vmListTimeout = 2500 * time.Millisecond
 	// relayPollWait bounds the wait of one poll of a relay. Polls are cheap, and a
 	// VM switches to changed relays only between polls.
 	relayPollWait = 5 * time.Second
@@ -159,6 +161,20 @@
 	return m
 }
 
+// Follow watches a prefix until ctx ends and passes the changes on to h. The first
+// read waits until the other VMs are known, so that it can go through a relay.
+func (s *Service) Follow(ctx context.Context, prefix string, h storewatch.Handler) {
+	m := s.Mirror(prefix, h)
+	timeout := time.NewTimer(vmListTimeout)
+	defer timeout.Stop()
+	select {
+	case <-s.nodesKnown:
+	case <-timeout.C:
+	case <-ctx.Done():
+	}
+	storewatch.New(s, prefix, m, s.log).Run(ctx)
+}
+
 // SetNodes sets the VMs that serve, including this one.
 func (s *Service) SetNodes(nodes []vmregistry.Node) {
 	var cands []ownership.Candidate
