Send a suspected request to one replica at a time

What callers saw: a request that crashes replicas and goes to all shards ends a replica of each shard before anything can be known, and its retries end the next one of each at once; other callers then find shards without replicas.

Cause: retries of all parts are sent together, whatever is known of the request.

Change: while a request is suspected and no part of it was answered, decide/gather sends one attempt at a time and hedges nothing; an attempt that is late makes room for the next. The first answer ends the suspicion and with it the caution. Ruled out: waiting with all retries for the other parts' answers, which costs every query with one lost connection a round trip.

--- a/internal/decide/gather/gather.go
+++ b/internal/decide/gather/gather.go
@@ -77,6 +77,8 @@
 	received int // parts received
 	givenUp  int // parts that can't be received any more
 	pending  []Attempt
+	// oneByOne states that attempts are sent one at a time.
+	oneByOne bool
 }
 
 // New returns the machine of a request. The first call of Decide returns a first
@@ -96,6 +98,11 @@
 // the parts that may be missing are reserved for parts that fail.
 func (m *Machine) CanSkipPart() bool { return 2*(m.givenUp+1) <= m.cfg.Parts-m.cfg.MinParts }
 
+// SetOneByOne sets whether attempts are sent one at a time, and none is hedged: each
+// waits until those before it have ended or are late. It limits the harm of a request
+// that may crash replicas.
+func (m *Machine) SetOneByOne(yes bool) { m.oneByOne = yes }
+
 // Sent records that an attempt was sent.
 func (m *Machine) Sent(now time.Time, part int) {
 	p := &m.parts[part]
@@ -162,12 +169,19 @@
 	if outcome := m.outcome(now); outcome != Pending {
 		return nil, outcome, time.Time{}
 	}
-	attempts := m.pending
-	m.pending = nil
 	wake := m.cfg.Deadline
 	if now.Before(m.cfg.AnswerBy) {
 		wake = m.cfg.AnswerBy
 	}
+	if m.oneByOne {
+		attempts, at := m.nextOne(now)
+		if !at.IsZero() && at.Before(wake) {
+			wake = at
+		}
+		return attempts, Pending, wake
+	}
+	attempts := m.pending
+	m.pending = nil
 	for i := range m.parts {
 		due, at := m.hedgeDue(now, &m.parts[i])
 		if due {
@@ -180,6 +194,28 @@
 	return attempts, Pending, wake
 }
 
+// nextOne returns the next pending attempt if those in flight are late, or else the
+// time from which they are; that time is zero if nothing is pending.
+func (m *Machine) nextOne(now time.Time) ([]Attempt, time.Time) {
+	if len(m.pending) == 0 {
+		return nil, time.Time{}
+	}
+	var late time.Time
+	for _, p := range m.parts {
+		for _, at := range p.inFlight {
+			if t := at.Add(m.cfg.HedgeAfter); t.After(late) {
+				late = t
+			}
+		}
+	}
+	if now.Before(late) {
+		return nil, late
+	}
+	next := m.pending[:1:1]
+	m.pending = m.pending[1:]
+	return next, time.Time{}
+}
+
 // outcome returns how the request ends, or Pending.
 func (m *Machine) outcome(now time.Time) Outcome {
 	enough := m.received >= m.cfg.MinParts
--- a/internal/decide/gather/gather_test.go
+++ b/internal/decide/gather/gather_test.go
@@ -97,6 +97,28 @@
 		Expect(outcome(m, ms(101))).To(Equal(gather.Answer))
 	})
 
+	It("sends one by one, and hedges nothing, while it is told to", func() {
+		m := gather.New(query())
+		m.SetOneByOne(true)
+		attempts, _, _ := m.Decide(begin)
+		Expect(attempts).To(HaveLen(1))
+		m.Sent(begin, attempts[0].Part)
+		attempts, out, wake := m.Decide(ms(1))
+		Expect(attempts).To(BeEmpty())
+		Expect(out).To(Equal(gather.Pending))
+		Expect(wake).To(Equal(ms(40)), "then the attempt in flight is late")
+		attempts, _, _ = m.Decide(ms(40))
+		Expect(attempts).To(HaveLen(1))
+		Expect(attempts[0].Kind).To(Equal(gather.First))
+		m.Unsendable(attempts[0])
+		attempts, _, _ = m.Decide(ms(40))
+		Expect(attempts).To(HaveLen(1), "one that was not sent makes room for the next")
+		m.Sent(ms(40), attempts[0].Part)
+		m.SetOneByOne(false)
+		attempts, _, _ = m.Decide(ms(41))
+		Expect(attempts).To(HaveLen(7+1), "the other parts, and a hedge of the first")
+	})
+
 	It("retries a failed part and abandons it after MaxAttempts", func() {
 		m := started(query())
 		m.Ended(3, begin, gather.NoAnswer)
--- a/internal/direct/serve.go
+++ b/internal/direct/serve.go
@@ -253,6 +253,7 @@
 // decision is due.
 func (c *call) step(now time.Time) (gather.Outcome, time.Time) {
 	for {
+		c.machine.SetOneByOne(c.machine.Received() == 0 && c.s.suspects.Crashes(c.fingerprint) > 0)
 		plan, outcome, next := c.machine.Decide(now)
 		if outcome != gather.Pending || len(plan) == 0 {
 			return outcome, next
