Evict the suspect with the fewest crashes, not the oldest one

Cause: the tracker evicted the suspect whose last crash is the oldest, whatever its count. The failure that a crashing request causes makes suspects of all requests in flight, so it drove out its own evidence. Evidence: the new spec, refused false before and true after.

--- a/internal/decide/poison/poison_test.go
+++ b/internal/decide/poison/poison_test.go
@@ -98,6 +98,18 @@
 		Expect(t.Suspects(begin.Add(time.Hour))).To(BeEmpty())
 	})
 
+	// Guards against a failure of many upstreams that evicts the request that caused it.
+	It("keeps the requests with the most crashes when there are too many suspects", func() {
+		t := poison.NewTracker()
+		for i := range poison.Threshold {
+			t.RecordCrash(begin.Add(time.Duration(i)*time.Second), []uint64{bad})
+		}
+		for i := range 5000 {
+			t.RecordCrash(begin.Add(10*time.Second+time.Duration(i)*time.Millisecond), []uint64{uint64(1000 + i)})
+		}
+		Expect(refused(t, begin.Add(time.Minute), bad)).To(BeTrue())
+	})
+
 	It("keeps a bounded number of suspects", func() {
 		t := poison.NewTracker()
 		for i := range 10000 {
--- a/internal/decide/poison/tracker.go
+++ b/internal/decide/poison/tracker.go
@@ -1,6 +1,7 @@
 package poison
 
 import (
+	"cmp"
 	"sort"
 	"time"
 )
@@ -46,7 +47,7 @@
 			continue
 		}
 		if len(t.suspects) >= maxSuspects && len(crashes) == 1 {
-			t.evict(now)
+			t.evict()
 		}
 		t.suspects[fp] = crashes
 		changed = true
@@ -86,15 +87,14 @@
 	return out
 }
 
-// evict removes the suspect whose last crash is the oldest; among equals, the one
-// with the smallest fingerprint.
-func (t *Tracker) evict(now time.Time) {
+// evict removes the suspect with the fewest crashes; among equals, the one whose last
+// crash is the oldest, or the one with the smallest fingerprint.
+func (t *Tracker) evict() {
 	var victim uint64
-	oldest := now.Add(time.Hour)
+	var least []time.Time
 	for fp, crashes := range t.suspects {
-		last := crashes[len(crashes)-1]
-		if last.Before(oldest) || last.Equal(oldest) && fp < victim {
-			victim, oldest = fp, last
+		if least == nil || cmp.Or(cmp.Compare(len(crashes), len(least)), crashes[len(crashes)-1].Compare(least[len(least)-1]), cmp.Compare(fp, victim)) < 0 {
+			victim, least = fp, crashes
 		}
 	}
 	delete(t.suspects, victim)
