Order what is read from the store by its era and revision

What callers would see: after a drill in which the store comes back from an older copy, VMs stay on an old configuration, without any line in the logs.

Cause: the store was followed by its revision alone. After a restore it gives out revisions again that were seen before; a watch that continues at one of them misses the changes up to it, and no 410 comes once the new revisions have passed the old one.

Change: platform/ reads Store-Era from every reply and joins it with the revision (platform.JoinRevision: era in the high bits), so that every order by revision, in watches, mirrors, relays and replies between VMs, is one by era and revision without further code. A watch of an earlier era ends as if its history were compacted, also if the probe beside it or another VM has heard of the later one. A mirror serves an asker who knows a later era nothing. Ruled out: era and revision as two fields of every type, which every comparison would have to remember.

--- a/internal/platform/transport.go
+++ b/internal/platform/transport.go
@@ -74,6 +74,10 @@
 	Body  any           // nil: GET, which changes nothing
 	Reply any           // nil: the body of the reply is ignored
 	Wait  time.Duration // added to the transport's timeout
+	// Header is the name of a header of the reply, whose value is stored in
+	// HeaderValue; "": none.
+	Header      string
+	HeaderValue *string
 }
 
 // dialError marks a call for which no connection could be opened, so that nothing
@@ -100,6 +104,7 @@
 	}
 	type result struct {
 		status int
+		header string
 		body   []byte
 		err    error
 	}
@@ -113,13 +118,16 @@
 		resp := fasthttp.AcquireResponse()
 		defer fasthttp.ReleaseResponse(resp)
 		err := t.host.DoDeadline(req, resp, deadline)
-		done <- result{resp.StatusCode(), append([]byte(nil), resp.Body()...), err}
+		done <- result{resp.StatusCode(), string(resp.Header.Peek(cl.Header)), append([]byte(nil), resp.Body()...), err}
 	}()
 	select {
 	case r := <-done:
 		if r.err != nil {
 			return noReply(cl, r.err)
 		}
+		if cl.HeaderValue != nil {
+			*cl.HeaderValue = r.header
+		}
 		return t.decode(cl, r.status, r.body)
 	case <-ctx.Done():
 		return noReply(cl, ctx.Err())
--- a/internal/storerelay/mirror.go
+++ b/internal/storerelay/mirror.go
@@ -87,6 +87,13 @@
 	m.next.Available()
 }
 
+// era returns the era of the state.
+func (m *Mirror) era() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return platform.EraOf(m.revision)
+}
+
 // notify wakes the waiting Watch calls. m.mu is held.
 func (m *Mirror) notify() {
 	close(m.changed)
@@ -150,6 +157,8 @@
 	switch {
 	case m.unavailable || m.revision == 0:
 		return platform.Changes{}, nil, platform.ErrUnavailable
+	case platform.EraOf(from) > platform.EraOf(m.revision):
+		return platform.Changes{}, nil, platform.ErrUnavailable // the asker knows a later era
 	case from < m.since:
 		return platform.Changes{}, nil, platform.ErrCompacted
 	}
--- a/internal/storerelay/read.go
+++ b/internal/storerelay/read.go
@@ -155,15 +155,22 @@
 func (s *Service) ProbeEvery() time.Duration { return probeInterval }
 
 // Probe implements storewatch.Prober. The watches of all prefixes share the
-// probes; a prefix that is read through another VM needs none.
+// probes; a prefix that is read through another VM needs none. The history that a
+// watch waits in counts as compacted when the probe finds the store in a later era.
 func (s *Service) Probe(ctx context.Context, prefix string) error {
 	s.mu.Lock()
-	skip := !s.reader || s.indirect[prefix]
+	skip, m := !s.reader || s.indirect[prefix], s.mirrors[prefix]
 	s.mu.Unlock()
 	if skip {
 		return nil
 	}
-	return s.probe(ctx)
+	if err := s.probe(ctx); err != nil {
+		return err
+	}
+	if m != nil && m.era() < s.store.Era() {
+		return platform.ErrCompacted
+	}
+	return nil
 }
 
 // probe sends a probe to the store, or returns the result of a recent one.
--- a/internal/storerelay/relay_test.go
+++ b/internal/storerelay/relay_test.go
@@ -101,6 +101,13 @@
 	return nil
 }
 
+// Era returns the era of the store, as if each VM heard of it at once.
+func (s vmStore) Era() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return platform.EraOf(s.revision)
+}
+
 func (s vmStore) state() platform.Changes {
 	return platform.Changes{Revision: s.revision, Entries: []platform.Entry{{Key: "k", Value: []byte(s.value), Revision: s.revision}}}
 }
@@ -379,3 +386,29 @@
 		Expect(err).To(MatchError(platform.ErrUnavailable))
 	})
 })
+
+var _ = Describe("a mirror and the era of the store", func() {
+	It("serves no changes of another era than the asker's", func() {
+		m := storerelay.NewMirror(discard{})
+		m.Replace(nil, platform.JoinRevision(1, 40))
+		m.Replace(nil, platform.JoinRevision(2, 30))
+		ctx := context.Background()
+		_, err := m.Watch(ctx, "", platform.JoinRevision(1, 40), time.Millisecond)
+		Expect(err).To(MatchError(platform.ErrCompacted), "an asker of an earlier era reads everything again")
+		_, err = m.Watch(ctx, "", platform.JoinRevision(3, 1), time.Millisecond)
+		Expect(err).To(MatchError(platform.ErrUnavailable), "an asker of a later era must ask elsewhere")
+		m.Apply([]platform.Entry{{Key: "k", Revision: platform.JoinRevision(1, 41)}, {Key: "l", Revision: platform.JoinRevision(2, 31)}})
+		c, err := m.Watch(ctx, "", platform.JoinRevision(2, 30), time.Millisecond)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(c.Entries).To(HaveLen(1))
+		Expect(c.Entries[0].Key).To(Equal("l"))
+	})
+})
+
+// discard is a handler that does nothing.
+type discard struct{}
+
+func (discard) Replace([]platform.Entry, uint64) {}
+func (discard) Apply([]platform.Entry)           {}
+func (discard) Unavailable(error)                {}
+func (discard) Available()                       {}
--- a/internal/storerelay/service.go
+++ b/internal/storerelay/service.go
@@ -71,6 +71,8 @@
 	platform.Watcher
 	// Probe makes the cheapest read that the store offers.
 	Probe(ctx context.Context) error
+	// Era returns the highest era of the store that this VM knows.
+	Era() uint64
 }
 
 // Service is a platform.Watcher that reads the store directly or through other
--- a/internal/storewatch/watch.go
+++ b/internal/storewatch/watch.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -121,7 +122,7 @@
 	}
 	c, err := w.watch(ctx, timeout)
 	if errors.Is(err, platform.ErrCompacted) {
-		w.log.Info().Str("prefix", w.prefix).Uint64("revision", w.revision).Msg("store has compacted the history since the last revision; reading all keys again")
+		w.log.Info().Str("prefix", w.prefix).Uint64("revision", w.revision).Msg("store no longer has the history since the last revision; reading all keys again")
 		return true, w.readAll(ctx)
 	}
 	if err != nil {
@@ -162,6 +163,15 @@
 	if err != nil {
 		return err
 	}
+	before, own := platform.SplitRevision(w.revision)
+	era, after := platform.SplitRevision(c.Revision)
+	if era < before {
+		return fmt.Errorf("%w: state of era %d, but era %d was read before", platform.ErrUnavailable, era, before)
+	}
+	if era > before && w.revision != 0 {
+		w.log.Info().Str("kind", "era").Str("prefix", w.prefix).Uint64("before", before).Uint64("era", era).Uint64("revision_before", own).Uint64("revision", after).
+			Int("entries", len(c.Entries)).Msg("store has come back from an older copy; its state was read again")
+	}
 	w.storeAvailable()
 	w.handler.Replace(c.Entries, c.Revision)
 	w.revision = c.Revision
