Keep a zone out of service when the restored store has lost the order

What callers and operators would see: an availability zone that was taken out gets requests again after a drill, until the operator has repeated the order (EVAC).

Cause: the zones out of service were whatever the last read listed, and the older copy may lack the order. Evidence: the new drill spec; the route was served (200) at once after the drill instead of refused.

Change: decide/zonehold keeps a zone out for five seconds from the first state of a new era in which its order is missing: the time in which an order has to be in force everywhere. A later drill starts the hold again; an order that is seen again ends it, and so does the operator's word after that. A line of kind era and the counter kept_beyond_store say what is kept. Ruled out: holding until the order comes again, which never ends if it was taken back during the drill; the two seconds of replicas, since an order may take five. What remains: a zone that was brought back shortly before the drill goes out again until the operator has repeated that.

--- a/internal/direct/service.go
+++ b/internal/direct/service.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/sapphirewall/sapphirewall/internal/decide/discovery"
+	"github.com/sapphirewall/sapphirewall/internal/decide/zonehold"
 	"github.com/sapphirewall/sapphirewall/internal/kernel"
 	"github.com/sapphirewall/sapphirewall/internal/routes"
 	"github.com/sapphirewall/sapphirewall/internal/suspects"
@@ -49,7 +50,8 @@
 	inForce           *tablesRevision // nil: no tables yet
 	upstreams         *discovery.Machine
 	upstreamsRead     bool // the registrations have been read at least once
-	zonesOutOfService map[string]bool
+	zones             *zonehold.Holder
+	zonesOutOfService map[string]bool     // by zones
 	replicas          map[string]*replica // by upstream ID
 	pools             map[string]*pool
 	routes            map[string]*routeStats
@@ -70,7 +72,7 @@
 	return &Service{
 		startedAt: o.StartedAt,
 		opts:      o, log: telemetry.NewRateLimitedLogger(log), metrics: newMetrics(),
-		upstreams: discovery.New(), zonesOutOfService: map[string]bool{}, replicas: map[string]*replica{},
+		upstreams: discovery.New(), zones: zonehold.New(), zonesOutOfService: map[string]bool{}, replicas: map[string]*replica{},
 		pools: map[string]*pool{}, routes: map[string]*routeStats{},
 		suspects: suspects.NewBoard(),
 		rng:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
--- a/internal/direct/upstreams.go
+++ b/internal/direct/upstreams.go
@@ -9,6 +9,7 @@
 	"github.com/sapphirewall/sapphirewall/internal/decide/placement"
 	"github.com/sapphirewall/sapphirewall/internal/decide/quantile"
 	"github.com/sapphirewall/sapphirewall/internal/decide/retry"
+	"github.com/sapphirewall/sapphirewall/internal/platform"
 	"github.com/sapphirewall/sapphirewall/internal/routes"
 	"github.com/sapphirewall/sapphirewall/internal/tables"
 )
@@ -92,11 +93,22 @@
 	s.requestRefresh()
 }
 
-// SetZonesOutOfService sets the availability zones that are out of service. Their
-// replicas receive no new requests.
-func (s *Service) SetZonesOutOfService(out map[string]bool) {
+// SetZonesOutOfService sets the availability zones that are out of service, as read
+// at a revision of the store. Their replicas receive no new requests.
+func (s *Service) SetZonesOutOfService(out map[string]bool, revision uint64) {
+	now := time.Now()
 	s.mu.Lock()
-	defer s.mu.Unlock()
+	for _, zone := range s.zones.Set(now, out, platform.EraOf(revision)) {
+		s.keptBeyondStore("zone", zone, "order missing in the restored store; zone stays out of service until it is repeated or the hold ends")
+	}
+	s.applyZones(now)
+	s.mu.Unlock()
+	s.requestRefresh()
+}
+
+// applyZones applies the zones that are out of service now. s.mu is held.
+func (s *Service) applyZones(now time.Time) {
+	out := s.zones.Out(now)
 	for zone := range out {
 		if !s.zonesOutOfService[zone] {
 			s.log.Info("zones").Str("zone", zone).Msg("availability zone out of service; its replicas get no new requests")
@@ -110,6 +122,13 @@
 	s.zonesOutOfService = out
 }
 
+// keptBeyondStore logs and counts knowledge that is kept although the store, which
+// has come back from an older copy, says otherwise. s.mu is held.
+func (s *Service) keptBeyondStore(kind, name, why string) {
+	s.metrics.add("kept_beyond_store", 1)
+	s.log.Info("era").Str(kind, name).Msg(why)
+}
+
 // StoreUnavailable records that the store is unavailable. The last known tables and
 // upstreams stay in use until StoreAvailable is called.
 func (s *Service) StoreUnavailable(err error) {
@@ -143,8 +162,8 @@
 	}
 }
 
-// refresh applies the status of all upstreams. It returns when the next status
-// changes without an event; zero: never.
+// refresh applies the status of all upstreams and zones. It returns when the next
+// status changes without an event; zero: never.
 func (s *Service) refresh(now time.Time) time.Time {
 	s.mu.Lock()
 	usable, next := s.upstreams.Usable(now)
@@ -162,6 +181,10 @@
 		}
 	}
 	s.groupByPool()
+	s.applyZones(now)
+	if end := s.zones.Next(now); !end.IsZero() && (next.IsZero() || end.Before(next)) {
+		next = end
+	}
 	s.mu.Unlock()
 	for _, r := range removed {
 		r.conns.Close()
