Don't bring a draining or removed upstream back with a restored store

Cause: a registration that is read later replaces what is known, and in a new era all are read again.

Change: a registration carries the upstream's own sequence number. What the same incarnation wrote before what is known is ignored, until it writes again, restarts, or the store removes the entry, so no time bound is needed. Removed upstreams are remembered for a minute; in a new era their last registration is old too. An upstream whose registration the copy lacks is a last resort for the two seconds that there were before. Ruled out: a hold by time, which either ends before the upstream has written again or keeps a returned one out.

A line of kind era names what is kept.

--- a/internal/decide/discovery/discovery.go
+++ b/internal/decide/discovery/discovery.go
@@ -1,7 +1,10 @@
 package discovery
 
 import (
+	"slices"
 	"time"
+
+	"github.com/sapphirewall/sapphirewall/internal/decide/era"
 )
 
 // GracePeriod is how long an upstream may still be used after this process has
@@ -11,6 +14,10 @@
 // upstreams are three seconds or longer.
 const GracePeriod = 2 * time.Second
 
+// removedRetention is how long a removed upstream is remembered, so that its last
+// registration is recognized when the store comes back from a copy some seconds old.
+const removedRetention = time.Minute
+
 // Upstream is one registered replica.
 type Upstream struct {
 	ID       string
@@ -40,16 +47,28 @@
 	Revision uint64
 	Upstream Upstream
 	Valid    bool // false: the entry can't be decoded, and Upstream must not be used
+	// Sequence rises with each heartbeat of the upstream since its start; 0: unknown.
+	Sequence uint64
+}
+
+// precedes reports whether a registration was written before another one by the
+// same incarnation of an upstream.
+func (r Registration) precedes(start int64, sequence uint64) bool {
+	return r.Valid && r.Upstream.Start != 0 && r.Upstream.Start == start && r.Sequence != 0 && r.Sequence < sequence
 }
 
 // record is the last state of one key.
 type record struct {
 	up         Upstream
+	sequence   uint64
 	revision   uint64
 	valid      bool
 	present    bool
 	graceStart time.Time // when this process observed that it is draining or was removed; zero: active
 	coldEnd    time.Time
+	// outdated states that the store has only a registration that precedes the
+	// recorded one, as after its return from an older copy.
+	outdated bool
 }
 
 // Machine holds all registrations. It is not safe for concurrent use.
@@ -62,18 +81,24 @@
 func New() *Machine { return &Machine{records: map[string]*record{}} }
 
 // Put records a registration that was written. An older revision than the
-// recorded one is ignored. Put reports whether more than the revision has
-// changed.
+// recorded one is ignored, and so is what an upstream has written before what is
+// recorded. Put reports whether more than the revision has changed.
 func (m *Machine) Put(now time.Time, reg Registration) bool {
 	r := m.records[reg.Key]
 	if r != nil && reg.Revision < r.revision {
 		return false
 	}
+	if r != nil && r.isOutdated(reg) {
+		changed := !r.outdated
+		r.revision, r.outdated = reg.Revision, true
+		return changed
+	}
 	if r == nil {
 		r = &record{}
 		m.records[reg.Key] = r
 	}
 	before := *r
+	r.sequence, r.outdated = reg.Sequence, false
 	r.revision, r.present, r.valid = reg.Revision, true, reg.Valid
 	if reg.Valid {
 		r.up = reg.Upstream
@@ -88,6 +113,29 @@
 	return before.up != r.up || before.valid != r.valid || before.present != r.present
 }
 
+// isOutdated reports whether a registration precedes what is recorded. After a
+// restore of the store, the last registration of a removed upstream may be there
+// again too.
+func (r *record) isOutdated(reg Registration) bool {
+	if reg.precedes(r.up.Start, r.sequence) {
+		return true
+	}
+	return !r.present && era.Of(reg.Revision) > era.Of(r.revision) && reg.precedes(r.up.Start, r.sequence+1)
+}
+
+// Outdated returns the keys of draining and removed upstreams for which the store has
+// only a registration that precedes this, in order.
+func (m *Machine) Outdated() []string {
+	var out []string
+	for key, r := range m.records {
+		if r.outdated && !r.graceStart.IsZero() {
+			out = append(out, key)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 // Remove records that a key was removed at a revision. It reports whether the
 // key was present until then.
 func (m *Machine) Remove(now time.Time, key string, revision uint64) bool {
@@ -153,13 +201,13 @@
 
 // Usable returns all upstreams that are not in state Removed, and the time at
 // which the result changes without a further event (zero: never). It deletes the
-// records of removed upstreams whose grace period is over.
+// records of upstreams that were removed long ago.
 func (m *Machine) Usable(now time.Time) ([]Status, time.Time) {
 	var out []Status
 	var wake time.Time
 	for key, r := range m.records {
 		if r.graceOver(now) {
-			if !r.present {
+			if !r.present && now.Sub(r.graceStart) >= removedRetention {
 				delete(m.records, key)
 			}
 			continue
--- a/internal/direct/upstreams.go
+++ b/internal/direct/upstreams.go
@@ -5,11 +5,11 @@
 
 	"github.com/sapphirewall/sapphirewall/internal/connpool"
 	"github.com/sapphirewall/sapphirewall/internal/decide/discovery"
+	"github.com/sapphirewall/sapphirewall/internal/decide/era"
 	"github.com/sapphirewall/sapphirewall/internal/decide/fleetlimit"
 	"github.com/sapphirewall/sapphirewall/internal/decide/placement"
 	"github.com/sapphirewall/sapphirewall/internal/decide/quantile"
 	"github.com/sapphirewall/sapphirewall/internal/decide/retry"
-	"github.com/sapphirewall/sapphirewall/internal/platform"
 	"github.com/sapphirewall/sapphirewall/internal/routes"
 	"github.com/sapphirewall/sapphirewall/internal/tables"
 )
@@ -66,6 +66,9 @@
 	removed := s.upstreams.Replace(now, regs, revision)
 	s.upstreamsRead = true
 	s.log.Info("upstreams").Int("entries", len(regs)).Int("vanished", len(removed)).Uint64("store_revision", revision).Msg("upstream registrations read")
+	if keys := s.upstreams.Outdated(); len(keys) > 0 {
+		s.keptBeyondStore("keys", keys, "registrations in the restored store precede what is known of the upstreams; they are ignored until the upstreams write again")
+	}
 	s.mu.Unlock()
 	s.requestRefresh()
 }
@@ -98,8 +101,8 @@
 func (s *Service) SetZonesOutOfService(out map[string]bool, revision uint64) {
 	now := time.Now()
 	s.mu.Lock()
-	for _, zone := range s.zones.Set(now, out, platform.EraOf(revision)) {
-		s.keptBeyondStore("zone", zone, "order missing in the restored store; zone stays out of service until it is repeated or the hold ends")
+	if held := s.zones.Set(now, out, era.Of(revision)); len(held) > 0 {
+		s.keptBeyondStore("zones", held, "orders missing in the restored store; the zones stay out of service until they are repeated or the hold ends")
 	}
 	s.applyZones(now)
 	s.mu.Unlock()
@@ -124,9 +127,9 @@
 
 // keptBeyondStore logs and counts knowledge that is kept although the store, which
 // has come back from an older copy, says otherwise. s.mu is held.
-func (s *Service) keptBeyondStore(kind, name, why string) {
-	s.metrics.add("kept_beyond_store", 1)
-	s.log.Info("era").Str(kind, name).Msg(why)
+func (s *Service) keptBeyondStore(kind string, names []string, why string) {
+	s.metrics.add("kept_beyond_store", int64(len(names)))
+	s.log.Info("era").Strs(kind, names).Msg(why)
 }
 
 // StoreUnavailable records that the store is unavailable. The last known tables and
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -27,7 +27,7 @@
 
 // Entry is a key with its value. Revision increases with every write to any key
 // of the service, so it also orders writes to different keys. It includes the
-// store's era (JoinRevision).
+// store's era (package era).
 type Entry struct {
 	Key      string  `json:"key"`
 	Value    []byte  `json:"value"`
--- a/internal/storerelay/mirror.go
+++ b/internal/storerelay/mirror.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/sapphirewall/sapphirewall/internal/decide/era"
 	"github.com/sapphirewall/sapphirewall/internal/platform"
 	"github.com/sapphirewall/sapphirewall/internal/storewatch"
 )
@@ -91,7 +92,7 @@
 func (m *Mirror) era() uint64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return platform.EraOf(m.revision)
+	return era.Of(m.revision)
 }
 
 // notify wakes the waiting Watch calls. m.mu is held.
@@ -157,7 +158,7 @@
 	switch {
 	case m.unavailable || m.revision == 0:
 		return platform.Changes{}, nil, platform.ErrUnavailable
-	case platform.EraOf(from) > platform.EraOf(m.revision):
+	case era.Of(from) > era.Of(m.revision):
 		return platform.Changes{}, nil, platform.ErrUnavailable // the asker knows a later era
 	case from < m.since:
 		return platform.Changes{}, nil, platform.ErrCompacted
--- a/internal/storerelay/relay_test.go
+++ b/internal/storerelay/relay_test.go
@@ -13,6 +13,7 @@
 	. "github.com/onsi/gomega"
 	"github.com/rs/zerolog"
 
+	"github.com/sapphirewall/sapphirewall/internal/decide/era"
 	"github.com/sapphirewall/sapphirewall/internal/platform"
 	"github.com/sapphirewall/sapphirewall/internal/storerelay"
 	"github.com/sapphirewall/sapphirewall/internal/storewatch"
@@ -105,7 +106,7 @@
 func (s vmStore) Era() uint64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return platform.EraOf(s.revision)
+	return era.Of(s.revision)
 }
 
 func (s vmStore) state() platform.Changes {
@@ -390,15 +391,15 @@
 var _ = Describe("a mirror and the era of the store", func() {
 	It("serves no changes of another era than the asker's", func() {
 		m := storerelay.NewMirror(discard{})
-		m.Replace(nil, platform.JoinRevision(1, 40))
-		m.Replace(nil, platform.JoinRevision(2, 30))
+		m.Replace(nil, era.Join(1, 40))
+		m.Replace(nil, era.Join(2, 30))
 		ctx := context.Background()
-		_, err := m.Watch(ctx, "", platform.JoinRevision(1, 40), time.Millisecond)
+		_, err := m.Watch(ctx, "", era.Join(1, 40), time.Millisecond)
 		Expect(err).To(MatchError(platform.ErrCompacted), "an asker of an earlier era reads everything again")
-		_, err = m.Watch(ctx, "", platform.JoinRevision(3, 1), time.Millisecond)
+		_, err = m.Watch(ctx, "", era.Join(3, 1), time.Millisecond)
 		Expect(err).To(MatchError(platform.ErrUnavailable), "an asker of a later era must ask elsewhere")
-		m.Apply([]platform.Entry{{Key: "k", Revision: platform.JoinRevision(1, 41)}, {Key: "l", Revision: platform.JoinRevision(2, 31)}})
-		c, err := m.Watch(ctx, "", platform.JoinRevision(2, 30), time.Millisecond)
+		m.Apply([]platform.Entry{{Key: "k", Revision: era.Join(1, 41)}, {Key: "l", Revision: era.Join(2, 31)}})
+		c, err := m.Watch(ctx, "", era.Join(2, 30), time.Millisecond)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(c.Entries).To(HaveLen(1))
 		Expect(c.Entries[0].Key).To(Equal("l"))
--- a/internal/storewatch/watch.go
+++ b/internal/storewatch/watch.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/sapphirewall/sapphirewall/internal/decide/backoff"
+	"github.com/sapphirewall/sapphirewall/internal/decide/era"
 	"github.com/sapphirewall/sapphirewall/internal/platform"
 )
 
@@ -163,13 +164,13 @@
 	if err != nil {
 		return err
 	}
-	before, own := platform.SplitRevision(w.revision)
-	era, after := platform.SplitRevision(c.Revision)
-	if era < before {
-		return fmt.Errorf("%w: state of era %d, but era %d was read before", platform.ErrUnavailable, era, before)
+	before, own := era.Split(w.revision)
+	current, after := era.Split(c.Revision)
+	if current < before {
+		return fmt.Errorf("%w: state of era %d, but era %d was read before", platform.ErrUnavailable, current, before)
 	}
-	if era > before && w.revision != 0 {
-		w.log.Info().Str("kind", "era").Str("prefix", w.prefix).Uint64("before", before).Uint64("era", era).Uint64("revision_before", own).Uint64("revision", after).
+	if current > before && w.revision != 0 {
+		w.log.Info().Str("kind", "era").Str("prefix", w.prefix).Uint64("before", before).Uint64("era", current).Uint64("revision_before", own).Uint64("revision", after).
 			Int("entries", len(c.Entries)).Msg("store has come back from an older copy; its state was read again")
 	}
 	w.storeAvailable()
