Write registrations and suspicions again when the store has lost them

What callers would see: after a drill the list of VMs shrinks, since a VM goes on renewing a lease that the store has lost, or that it has given to another VM under the same ID; the shares of fleet-wide limits then grow too large.

Cause: a renewal that is answered counted as proof that the registration is there.

Change: a lease belongs to the era of the store in which it was granted. A VM that hears of a later era, from any reply or another VM, registers anew after a random delay: 0.01 s times twice the number of VMs, that is 100 calls a second for all, a quarter of what the store of a small deployment takes, and at most 20 s, since VMs are counted for 30 s without a registration. 9 VMs are back within 0.2 s of hearing of the era, 2,400 VMs make 240 calls a second.

--- a/internal/suspects/share.go
+++ b/internal/suspects/share.go
@@ -39,6 +39,8 @@
 	Grant(ctx context.Context, ttl time.Duration) (platform.LeaseID, error)
 	CompareAndSwap(ctx context.Context, key string, expect uint64, value []byte, lease platform.LeaseID) (platform.Entry, error)
 	Delete(ctx context.Context, key string, expect uint64) error
+	// Era returns the highest era of the store that this VM knows.
+	Era() uint64
 }
 
 // FollowFunc watches a prefix of the store until ctx ends.
@@ -54,6 +56,7 @@
 	pacer  *backoff.Pacer
 
 	lease     platform.LeaseID // 0: none
+	era       uint64           // of the store in which lease was granted
 	grantedAt time.Time
 	failing   bool // the last call failed
 
@@ -145,13 +148,14 @@
 		}
 		return err
 	}
-	if s.lease == 0 || time.Since(s.grantedAt) > leaseReuse {
-		granted := time.Now()
+	// A lease of an earlier era is lost, and another VM may have been given its ID.
+	if s.lease == 0 || s.era != s.store.Era() || time.Since(s.grantedAt) > leaseReuse {
+		granted, before := time.Now(), s.store.Era()
 		lease, err := s.store.Grant(ctx, entryTTL)
 		if err != nil {
 			return err
 		}
-		s.lease, s.grantedAt = lease, granted
+		s.lease, s.era, s.grantedAt = lease, before, granted
 	}
 	e, err := s.store.CompareAndSwap(ctx, key, w.Expect, strconv.AppendInt(nil, int64(w.Crashes), 10), s.lease)
 	if err != nil {
--- a/internal/vmregistry/vmregistry.go
+++ b/internal/vmregistry/vmregistry.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"strings"
 	"sync"
 	"time"
@@ -26,6 +27,20 @@
 	ttl = vmcount.Retention
 	// renewEvery lets two renewals fail before the lease expires.
 	renewEvery = 10 * time.Second
+	// eraCheckInterval is the time between two comparisons of the lease's era with
+	// the store's, which cost no call.
+	eraCheckInterval = 250 * time.Millisecond
+	// callsPerRewrite is the number of calls that write a registration again, and
+	// rewritesPerSecond the rate of these calls of all VMs: a quarter of the writes
+	// that the store of a small deployment takes.
+	callsPerRewrite   = 2
+	rewritesPerSecond = 100
+	// rewriteRetry is the least time between two attempts to write a registration
+	// again.
+	rewriteRetry = time.Second
+	// maxRewriteDelay leaves time for a list before the VMs stop counting one whose
+	// registration is missing.
+	maxRewriteDelay = vmcount.Retention - vmcount.CountInterval
 )
 
 // Store is the part of the platform's store that the registry uses.
@@ -37,6 +52,8 @@
 	// ListStale returns the entries of a prefix, which may be some seconds out
 	// of date.
 	ListStale(ctx context.Context, prefix string) ([]platform.Entry, error)
+	// Era returns the highest era of the store that this VM knows.
+	Era() uint64
 }
 
 // Node is one VM that serves. The value of its registration is "zone address".
@@ -55,6 +72,7 @@
 	log    zerolog.Logger
 
 	lease   platform.LeaseID // 0: none
+	era     uint64           // of the store in which lease was granted
 	failing bool             // the last call to the store failed
 
 	mu       sync.Mutex // guards the fields below and the order of the calls of notify
@@ -110,12 +128,21 @@
 	defer renew.Stop()
 	listing := time.NewTimer(vmcount.RecountDelay)
 	defer listing.Stop()
+	eraCheck := time.NewTicker(eraCheckInterval)
+	defer eraCheck.Stop()
+	var rewrite <-chan time.Time // set while a registration is due to be written again
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-renew.C:
 			s.report("renew", s.renew(ctx))
+		case <-eraCheck.C:
+			if rewrite == nil && s.era != s.store.Era() {
+				rewrite = time.After(s.rewriteDelay())
+			}
+		case <-rewrite:
+			rewrite = s.rewrite(ctx)
 		case <-listing.C:
 			s.report("count", s.list(ctx, time.Now()))
 			listing.Reset(vmcount.CountInterval)
@@ -136,6 +163,7 @@
 // register writes the VM's registration, or replaces that of an earlier process on
 // the same VM.
 func (s *Service) register(ctx context.Context) error {
+	before := s.store.Era()
 	lease, err := s.store.Grant(ctx, ttl)
 	if err != nil {
 		return err
@@ -143,12 +171,35 @@
 	if err := s.store.Put(ctx, s.prefix+s.self.Name, []byte(s.self.Zone+" "+s.self.Addr), lease); err != nil {
 		return err
 	}
-	s.lease = lease
+	s.lease, s.era = lease, before
 	return nil
 }
 
+// rewrite writes the registration again after a restore of the store. If that fails,
+// it returns when to try again.
+func (s *Service) rewrite(ctx context.Context) <-chan time.Time {
+	err := s.renew(ctx)
+	s.report("enter again", err)
+	if err != nil {
+		return time.After(rewriteRetry + s.rewriteDelay())
+	}
+	s.log.Info().Str("kind", "era").Uint64("era", s.era).Msg("registration written again after a restore of the store")
+	return nil
+}
+
+// rewriteDelay returns a random delay that spreads the registrations of all VMs after
+// a restore of the store.
+func (s *Service) rewriteDelay() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	spread := time.Duration(len(s.nodes)) * callsPerRewrite * time.Second / rewritesPerSecond
+	return time.Duration(rand.Float64() * float64(min(spread, maxRewriteDelay)))
+}
+
+// renew renews the registration. A lease of an earlier era of the store is lost, and
+// another VM may have been given its ID.
 func (s *Service) renew(ctx context.Context) error {
-	if s.lease == 0 {
+	if s.lease == 0 || s.era != s.store.Era() {
 		return s.register(ctx)
 	}
 	err := s.store.Renew(ctx, s.lease)
--- a/internal/vmregistry/vmregistry_test.go
+++ b/internal/vmregistry/vmregistry_test.go
@@ -24,6 +24,22 @@
 	mu      sync.Mutex
 	entries []platform.Entry
 	down    bool
+	era     uint64
+	leases  platform.LeaseID // granted in this era
+}
+
+// restore brings the store back from a copy without the registrations.
+func (s *store) restore() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.entries, s.leases = nil, 0
+}
+
+func (s *store) Era() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
 }
 
 func (s *store) err() error {
@@ -36,7 +52,8 @@
 func (s *store) Grant(context.Context, time.Duration) (platform.LeaseID, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return 1, s.err()
+	s.leases++
+	return s.leases, s.err()
 }
 
 func (s *store) Renew(context.Context, platform.LeaseID) error {
@@ -45,12 +62,15 @@
 	return s.err()
 }
 
-func (s *store) Put(_ context.Context, key string, value []byte, _ platform.LeaseID) error {
+func (s *store) Put(_ context.Context, key string, value []byte, lease platform.LeaseID) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
 		return platform.ErrUnavailable
 	}
+	if lease == 0 || lease > s.leases {
+		return platform.ErrLeaseNotFound
+	}
 	s.entries = append(s.entries, platform.Entry{Key: key, Value: value})
 	return nil
 }
@@ -100,6 +120,19 @@
 		Expect(nodes).To(ConsistOf(self))
 	})
 
+	// Guards against renewing a lease that the store has lost, whose ID it may have
+	// given to another VM: the registration then stays missing.
+	It("registers again when the store has come back from an older copy, and once for each time", func() {
+		st := &store{era: 1}
+		start(st)
+		for range 3 {
+			Eventually(st.keys, "3s").Should(ConsistOf("vms/vm-1"))
+			Consistently(st.keys, "600ms").Should(ConsistOf("vms/vm-1"))
+			st.restore()
+		}
+		Eventually(st.keys, "3s").Should(ConsistOf("vms/vm-1"))
+	})
+
 	It("keeps VMs from another VM's list when their registrations have expired", func() {
 		lists := make(chan []vmregistry.Node, 10)
 		r := vmregistry.New(&store{}, "vms/", self, func(nodes []vmregistry.Node) { lists <- nodes }, zerolog.New(GinkgoWriter))
