--- a/internal/storerelay/mirror.go
+++ b/internal/storerelay/mirror.go
@@ -88,11 +88,11 @@
 	m.next.Available()
 }
 
-// era returns the era of the state.
-func (m *Mirror) era() uint64 {
+// lastRevision returns the revision of the state, 0 if there is none yet.
+func (m *Mirror) lastRevision() uint64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return era.Of(m.revision)
+	return m.revision
 }
 
 // notify wakes the waiting Watch calls. m.mu is held.
--- a/internal/storerelay/read.go
+++ b/internal/storerelay/read.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"time"
 
+	"github.com/sapphirewall/sapphirewall/internal/decide/era"
 	"github.com/sapphirewall/sapphirewall/internal/platform"
 	"github.com/sapphirewall/sapphirewall/proto/swpb"
 )
@@ -13,7 +14,7 @@
 // Snapshot implements platform.Watcher.
 func (s *Service) Snapshot(ctx context.Context, prefix string) (platform.Changes, error) {
 	req := &swpb.StoreRequest{Prefix: prefix, Snapshot: true}
-	if c, err, ok := s.readFromRelays(ctx, req); ok {
+	if c, err, ok := s.snapshotFromRelays(ctx, req); ok {
 		s.setIndirect(prefix, true)
 		return c, err
 	}
@@ -52,6 +53,32 @@
 	return r.c, r.err
 }
 
+// snapshotFromRelays reads a snapshot from the relays. A VM that has read the prefix
+// before gives them time: after a restore of the store they read everything again too,
+// and the store must not get a snapshot call from every VM.
+func (s *Service) snapshotFromRelays(ctx context.Context, req *swpb.StoreRequest) (c platform.Changes, err error, ok bool) {
+	s.mu.Lock()
+	m, reader := s.mirrors[req.GetPrefix()], s.reader
+	s.mu.Unlock()
+	tries := 1
+	if m != nil && !reader && m.lastRevision() > 0 {
+		tries = relayTries
+	}
+	for try := range tries {
+		if try > 0 {
+			select {
+			case <-ctx.Done():
+				return platform.Changes{}, ctx.Err(), true
+			case <-time.After(relayTryInterval):
+			}
+		}
+		if c, err, ok = s.readFromRelays(ctx, req); ok {
+			return c, err, true
+		}
+	}
+	return platform.Changes{}, nil, false
+}
+
 // snapshotResult is the result of a Snapshot call to the store.
 type snapshotResult struct {
 	c   platform.Changes
@@ -167,7 +194,7 @@
 	if err := s.probe(ctx); err != nil {
 		return err
 	}
-	if m != nil && m.era() < s.store.Era() {
+	if m != nil && era.Of(m.lastRevision()) < s.store.Era() {
 		return platform.ErrCompacted
 	}
 	return nil
