--- a/internal/storerelay/read.go
+++ b/internal/storerelay/read.go
@@ -53,18 +53,11 @@
 	return r.c, r.err
 }
 
-// snapshotFromRelays reads a snapshot from the relays. A VM that has read the prefix
-// before gives them time: after a restore of the store they read everything again too,
-// and the store must not get a snapshot call from every VM.
+// snapshotFromRelays reads a snapshot from the relays. It gives them time: when VMs
+// start together, and after a restore of the store, the relays read everything at the
+// same time, and the store must not get a snapshot call from every VM.
 func (s *Service) snapshotFromRelays(ctx context.Context, req *swpb.StoreRequest) (c platform.Changes, err error, ok bool) {
-	s.mu.Lock()
-	m, reader := s.mirrors[req.GetPrefix()], s.reader
-	s.mu.Unlock()
-	tries := 1
-	if m != nil && !reader && m.lastRevision() > 0 {
-		tries = relayTries
-	}
-	for try := range tries {
+	for try := range relayTries {
 		if try > 0 {
 			select {
 			case <-ctx.Done():
@@ -72,8 +65,8 @@
 			case <-time.After(relayTryInterval):
 			}
 		}
-		if c, err, ok = s.readFromRelays(ctx, req); ok {
-			return c, err, true
+		if c, err, ok = s.readFromRelays(ctx, req); ok || s.isReader() {
+			return c, err, ok
 		}
 	}
 	return platform.Changes{}, nil, false
--- a/internal/storerelay/service.go
+++ b/internal/storerelay/service.go
@@ -60,9 +60,9 @@
 	// that no VM can answer also waits for noStoreBackoff before it tries again.
 	unreachableBackoff = 3 * time.Second
 	noStoreBackoff     = 250 * time.Millisecond
-	// relayTries is how often a VM that reads a prefix again asks its relays for a
-	// snapshot before it calls the store, and relayTryInterval the time between two
-	// tries: together a fifth of the time in which changes are due.
+	// relayTries is how often a VM asks its relays for a snapshot before it calls the
+	// store, and relayTryInterval the time between two tries: together a fifth of the
+	// time in which changes are due.
 	relayTries       = 6
 	relayTryInterval = 100 * time.Millisecond
 	// pollInterval is the time between two calls to the store by a VM that is not a
