Share the refusal of a request before its last attempt has ended

Cause: a suspicion was shared when its request ended without an answer. Found by reading the ways in which a call may stay open. The new ledger spec failed (no pending write after the third crash). A count that refuses is shared at once; a lower one waits as before, since most of those requests are answered.

--- a/internal/decide/poison/ledger.go
+++ b/internal/decide/poison/ledger.go
@@ -53,6 +53,9 @@
 	}
 	s.crashes++
 	s.since = now
+	if s.crashes == Threshold {
+		s.due = true // attempts in flight may keep the request from ending
+	}
 	return true
 }
 
--- a/internal/decide/poison/ledger_test.go
+++ b/internal/decide/poison/ledger_test.go
@@ -61,6 +61,14 @@
 		Expect(l.Len()).To(BeZero())
 	})
 
+	// Guards against a refusal that other VMs learn of only when a slow attempt of the
+	// request has ended.
+	It("shares a refusal at once", func() {
+		l := poison.NewLedger()
+		crashChain(l, bad, 0, 3)
+		Expect(l.Pending(at(40), 9)).To(Equal([]poison.Write{{Fingerprint: bad, Crashes: 3}}))
+	})
+
 	It("shares again what the store has lost", func() {
 		l := poison.NewLedger()
 		crashChain(l, bad, 0, 3)
--- a/internal/suspects/board.go
+++ b/internal/suspects/board.go
@@ -22,7 +22,11 @@
 func (b *Board) RecordCrash(now, sentAt time.Time, fp uint64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.ledger.RecordCrash(now, sentAt, fp)
+	counted := b.ledger.RecordCrash(now, sentAt, fp)
+	if counted && b.ledger.Crashes(fp) == poison.Threshold {
+		b.notify()
+	}
+	return counted
 }
 
 // RecordAnswer records that an attempt of a request was answered. It reports
