Read the diff: log a failure to share, keep the sequence with its registration

Suspicions that can't be shared are a warning with the reason, as in the VM registry. A registration that can't be decoded no longer resets the sequence of the last valid one, which would have let an older one of the restored store in.

--- a/internal/decide/discovery/discovery.go
+++ b/internal/decide/discovery/discovery.go
@@ -98,10 +98,9 @@
 		m.records[reg.Key] = r
 	}
 	before := *r
-	r.sequence, r.outdated = reg.Sequence, false
-	r.revision, r.present, r.valid = reg.Revision, true, reg.Valid
+	r.revision, r.present, r.valid, r.outdated = reg.Revision, true, reg.Valid, false
 	if reg.Valid {
-		r.up = reg.Upstream
+		r.up, r.sequence = reg.Upstream, reg.Sequence
 		r.coldEnd = now.Add(reg.Upstream.ColdLeft)
 	}
 	switch {
@@ -123,8 +122,8 @@
 	return !r.present && era.Of(reg.Revision) > era.Of(r.revision) && reg.precedes(r.up.Start, r.sequence+1)
 }
 
-// Outdated returns the keys of draining and removed upstreams for which the store has
-// only a registration that precedes this, in order.
+// Outdated returns, in order, the keys of upstreams that are draining or removed, for
+// which the store has only a registration from before that.
 func (m *Machine) Outdated() []string {
 	var out []string
 	for key, r := range m.records {
--- a/internal/egress/egress_test.go
+++ b/internal/egress/egress_test.go
@@ -292,12 +292,7 @@
 			ctx.Hijack(func(nc net.Conn) { _ = nc.Close() })
 		}))
 		fx := newFixture(state(u, func(*tables.Tables) {}))
-		Eventually(func() verdict.Cause {
-			reply, err := fx.send(context.Background(), "r", testTimeout)
-			Expect(err).NotTo(HaveOccurred())
-			time.Sleep(60 * time.Millisecond)
-			return verdict.Cause(reply.GetVerdict().GetCause())
-		}).WithTimeout(testTimeout).Should(Equal(verdict.Poison))
+		Eventually(func() verdict.Cause { return causeOfNext(fx) }).WithTimeout(testTimeout).Should(Equal(verdict.Poison))
 		Expect(fx.pollView(0).GetSuspects()[0].GetFingerprint()).To(BeEquivalentTo(1))
 		u.handler.Store(fasthttp.RequestHandler(answerPart))
 		reply, err := fx.send(context.Background(), "another", testTimeout)
@@ -319,12 +314,7 @@
 			ctx.Hijack(func(nc net.Conn) { _ = nc.Close() })
 		}))
 		fx := newFixture(state(u, func(*tables.Tables) {}))
-		Eventually(func() verdict.Cause {
-			reply, err := fx.send(context.Background(), "r", testTimeout)
-			Expect(err).NotTo(HaveOccurred())
-			time.Sleep(60 * time.Millisecond)
-			return verdict.Cause(reply.GetVerdict().GetCause())
-		}).WithTimeout(testTimeout).Should(Equal(verdict.Poison))
+		Eventually(func() verdict.Cause { return causeOfNext(fx) }).WithTimeout(testTimeout).Should(Equal(verdict.Poison))
 	})
 
 	It("finishes the attempts in flight before it stops", func() {
@@ -375,3 +365,12 @@
 	Entry("not the owner", verdict.NotOwner, func(_ *tables.Tables, s *fleetstate.State) { s.Members[0].Node = "vm-9" }),
 	Entry("no connection", verdict.ConnectFailed, func(t *tables.Tables, _ *fleetstate.State) { t.Pools["p"].Upstreams[0].Addr = "127.0.0.1:1" }),
 )
+
+// causeOfNext sends the same request again, and returns the cause of its verdict. Its
+// crash counts as another one than that of the request before.
+func causeOfNext(fx *fixture) verdict.Cause {
+	reply, err := fx.send(context.Background(), "r", testTimeout)
+	Expect(err).NotTo(HaveOccurred())
+	time.Sleep(60 * time.Millisecond)
+	return verdict.Cause(reply.GetVerdict().GetCause())
+}
--- a/internal/suspects/share.go
+++ b/internal/suspects/share.go
@@ -132,12 +132,22 @@
 	if errors.Is(err, platform.ErrLeaseNotFound) {
 		s.lease = 0
 	}
-	if failing := err != nil && !errors.Is(err, platform.ErrConflict) && ctx.Err() == nil; failing != s.failing {
-		s.failing = failing
-		s.log.Info().Str("kind", "suspect").AnErr("cause", err).Bool("failing", failing).Msg("sharing suspicions with other VMs failed, or works again")
+	if ctx.Err() == nil && !errors.Is(err, platform.ErrConflict) {
+		s.report(err)
 	}
 }
 
+// report logs the first failure after writes that succeeded, and the recovery.
+func (s *Service) report(err error) {
+	switch {
+	case err != nil && !s.failing:
+		s.log.Warn().Str("kind", "suspect").Err(err).Msg("suspicions can't be shared; this VM counts by itself until they can")
+	case err == nil && s.failing:
+		s.log.Info().Str("kind", "suspect").Msg("suspicions are shared again")
+	}
+	s.failing = err != nil
+}
+
 func (s *Service) apply(ctx context.Context, w poison.Write) error {
 	key := s.prefix + strconv.FormatUint(w.Fingerprint, 16)
 	if w.Crashes == 0 {
