--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -60,6 +60,7 @@
 	a.wire = connpool.Attempt{Request: &c.req.Request, Deadline: c.attemptDeadline(planned.Kind), SentAt: now, Done: func(*connpool.Attempt) { a.done() }}
 	a.startSpan(planned.Kind)
 	r.observed.Sent(now)
+	p.countsOf(r.status.Version).sent++
 	if _, a.cold = s.coldRate(&r.status, now); a.cold {
 		r.coldLimiter.Reserve()
 	}
@@ -68,6 +69,7 @@
 	c.inFlight = append(c.inFlight, a)
 	c.sentByKind[planned.Kind]++
 	if planned.Kind != gather.First {
+		p.countsOf(r.status.Version).extra++
 		s.logExtraAttempt(c, r, planned, now)
 	}
 	return a
@@ -153,6 +155,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	obs := a.replica.observed
+	counts := s.poolOf(a.call.pools[a.part]).countsOf(a.replica.status.Version)
 	took := now.Sub(w.SentAt)
 	expired := w.Reply != nil && w.Reply.Status >= 500 && !now.Before(w.Deadline.Add(-expirySlack))
 	switch {
@@ -168,9 +171,13 @@
 		s.metrics.add("attempt_rejected", 1)
 	case w.Reply != nil && w.Reply.Status >= 500:
 		obs.Failed(now, w.SentAt)
+		counts.failed++
 		s.metrics.add("attempt_failed", 1)
 	case w.Reply != nil:
 		obs.Answered(now, w.SentAt, a.call.typical)
+		if took > slowFactor*a.call.typical {
+			counts.slow++
+		}
 		a.call.stats.median.Observe(took)
 		a.call.stats.tail.Observe(took)
 		s.metrics.observe("attempt", took)
@@ -178,6 +185,7 @@
 		obs.Cancelled(w.SentAt)
 	default:
 		obs.Failed(now, w.SentAt)
+		counts.failed++
 		s.metrics.add("attempt_"+string(w.Err.Cause), 1)
 	}
 	if w.Err != nil && w.Err.Cause == verdict.ConnectionSilent {
--- a/internal/direct/service.go
+++ b/internal/direct/service.go
@@ -62,6 +62,7 @@
 	routes            map[string]*routeStats
 	rng               *rand.Rand
 	fleet             []string  // serving VMs; empty: not known
+	versionsReported  time.Time // last report of the pools with several versions
 	unavailableSince  time.Time // start of the store's outage; zero: available
 
 	wake chan struct{} // makes maintain call refresh
@@ -140,6 +141,7 @@
 			return
 		case now := <-tick.C:
 			s.sweep(now)
+			s.reportVersions(now)
 			s.log.Tick(now)
 			continue
 		case <-reports.C:
--- a/internal/direct/upstreams.go
+++ b/internal/direct/upstreams.go
@@ -27,6 +27,7 @@
 type pool struct {
 	replicas []*replica
 	budget   *retry.SharedBudget
+	versions map[string]*versionCounts
 }
 
 // routeStats tracks the latency of attempts for one route.
@@ -248,7 +249,7 @@
 func (s *Service) poolOf(name string) *pool {
 	p := s.pools[name]
 	if p == nil {
-		p = &pool{budget: retry.NewSharedBudget(s.extraLimits(), s.startedAt)}
+		p = &pool{budget: retry.NewSharedBudget(s.extraLimits(), s.startedAt), versions: map[string]*versionCounts{}}
 		s.pools[name] = p
 	}
 	return p
