Carry out orders to move a pool to another version on the platform

Cause: op/rollout was read and dropped; nothing decided on versions.

Change: the versions of a pool are classes of replicas. A version that no order names gets nothing beside the present one. What an order's version gets is limited by count on each VM (decide/rollout.Exposure), so that the sum is within the limit whatever the VMs know of each other, and is nothing while no judge is heard for 1.5 s. Each VM reports what it has sent, and how it ended, to two judges chosen by rendezvous hashing (internal/fleetrollout); the FleetJudge compares the versions with the tests of the three-process form, over all VMs, by route, in windows and since the order. The trial uses a fifth of the limit, a suspicion up to three fifths. What is left pays for the takeover just before the end of the time, under the real load and with a small control group; then all requests at the old version end, and only then is it reported as completed. Commit and completion are recorded in the store before they are in force; a veto is in force at once.

One package of decisions: the evidence is shared with the three-process form. Its stages are not: there a move has an absolute start and end, and its shares (26% by 0.6 of the time) exceed the platform's limit, which counts requests.

Ruled out: ejecting replicas faster (what exceeds the limit is sent before the fault shows); shares by time, as in decide/rollout.stages.

--- a/internal/decide/rollout/compare.go
+++ b/internal/decide/rollout/compare.go
@@ -27,6 +27,7 @@
 type tolerances struct {
 	errors  tolerance
 	crashes tolerance
+	slow8x  tolerance // share of requests at least three latency buckets above the old median; zero: not tested
 	slow4x  tolerance // share of requests at least two latency buckets above the old median
 	slow2x  tolerance // share of requests at least one latency bucket above the old median
 	mean    float64   // slowness also requires a mean latency above this multiple of the old one
@@ -152,6 +153,10 @@
 	m := old.medianBucket()
 	twice := func(s *Sums) uint64 { return s.countFrom(m + 1) }
 	fourfold := func(s *Sums) uint64 { return s.countFrom(m + 2) }
+	if ts.slow8x != (tolerance{}) {
+		eightfold := func(s *Sums) uint64 { return s.countFrom(m + 3) }
+		out = append(out, criterion{Slow, eightfold, ts.slow8x, ts.slow8x.maxRate(eightfold(old), old.Requests)})
+	}
 	return append(out,
 		criterion{Slow, fourfold, ts.slow4x, ts.slow4x.maxRate(fourfold(old), old.Requests)},
 		criterion{Slow, twice, ts.slow2x, ts.slow2x.maxRate(twice(old), old.Requests)})
--- /dev/null
+++ b/internal/decide/rollout/fleetsums.go
@@ -0,0 +1,146 @@
+package rollout
+
+import (
+	"fmt"
+	"sort"
+	"time"
+)
+
+// RolloutStat is one row of a VM's report: the attempts at one class of a pool on one
+// route since the order.
+type RolloutStat struct {
+	Class Class
+	Route string
+	Group uint8 // of replicas of the new version, by a hash of the ID; below Groups
+	Sums  Sums
+}
+
+// Groups is the number of groups by which the replicas of the new version are
+// reported, so that a fault of one isn't taken for a fault of its version.
+const Groups = maxGroups
+
+// statID identifies a row.
+type statID struct {
+	class Class
+	route string
+	group uint8
+}
+
+func (s *RolloutStat) id() statID { return statID{s.Class, s.Route, s.Group % maxGroups} }
+
+// fleetRoute holds the sums of all VMs on one route.
+type fleetRoute struct {
+	news [maxGroups]series // by group of replicas
+	old  series
+}
+
+// sums returns the sums of the newest n slots, of all if n is 0.
+func (r *fleetRoute) sums(slot int64, n int) pair {
+	var p pair
+	if n == 0 {
+		p.old = r.old.total
+		for i := range r.news {
+			p.groups[i] = r.news[i].total
+		}
+		return p
+	}
+	for at := max(slot-int64(n)+1, 0); at <= slot; at++ {
+		p.old.add(r.old.at(at))
+		for i := range r.news {
+			p.groups[i].add(r.news[i].at(at))
+		}
+	}
+	return p
+}
+
+func (r *fleetRoute) advance(slot int64) {
+	r.old.advance(slot)
+	for i := range r.news {
+		r.news[i].advance(slot)
+	}
+}
+
+// fleetWindows are the periods over which a fleet judge compares the versions, in
+// slots; 0: since the order.
+var fleetWindows = append([]int{0}, windows[:]...)
+
+// fleetwide applies to the comparisons of a fleet judge, whose samples are few: it is
+// concurrent with a test for answers that are much slower.
+var fleetwide = func() tolerances {
+	t := concurrent
+	t.slow8x = tolerance{1.5, 0.04}
+	t.slow4x = tolerance{1.5, 0.07}
+	return t
+}()
+
+// evidenceOf is what a comparison concludes from the sums of both versions.
+type evidenceOf func(p *pair) Regression
+
+// findIn returns the first regression that f finds on a route or over all, in any
+// window, or "".
+func (j *FleetJudge) findIn(now time.Time, f evidenceOf) string {
+	slot := slotAt(now)
+	names := make([]string, 0, len(j.routes))
+	for name, r := range j.routes {
+		r.advance(slot)
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	for _, n := range fleetWindows {
+		var all, allTotal pair
+		for _, name := range names {
+			p := j.routes[name].sums(slot, n)
+			for id, s := range j.pending {
+				if id.route == name && id.class == NewVersion {
+					p.groups[id.group].add(&s)
+				}
+			}
+			total := pair{groups: p.groups, old: j.routes[name].old.total}
+			if p.old.Requests < minOldRequests {
+				p.old = total.old
+			}
+			if found := inBoth(&p, &total, f); found != NoRegression {
+				return fmt.Sprintf("%s on route %s", found, name)
+			}
+			all.merge(&p)
+			allTotal.merge(&total)
+		}
+		if found := inBoth(&all, &allTotal, f); found != NoRegression {
+			return fmt.Sprintf("%s over all routes", found)
+		}
+	}
+	return ""
+}
+
+// inBoth returns what f finds against the old version in a window, if it also finds
+// something against the old version since the order: trouble of both versions shows
+// in the window, and the old version is idle during a takeover, but was not before.
+func inBoth(window, total *pair, f evidenceOf) Regression {
+	if found := f(window); found != NoRegression && f(total) != NoRegression {
+		return found
+	}
+	return NoRegression
+}
+
+// isRegression requires the evidence of a veto.
+func isRegression(p *pair) Regression { return fleetwide.regression(p.groups[:], &p.old) }
+
+// suspicionEvidence is the evidence, in nats, from which a version is not given more
+// requests.
+const suspicionEvidence = 4.0
+
+// isSuspicion requires less evidence, as a version that may be bad must not replace
+// the old one yet.
+func isSuspicion(p *pair) Regression {
+	all := sum(p.groups[:])
+	for _, t := range fleetwide.criteria(&p.old) {
+		if t.events(&all) < minEvents/2 || t.tolerance.excessEvidence(t.events(&all), all.Requests, t.events(&p.old), p.old.Requests) < suspicionEvidence {
+			continue
+		}
+		if t.regression == Slow && !fleetwide.meanRegressed(&all, &p.old) {
+			continue
+		}
+		return t.regression
+	}
+	return NoRegression
+}
--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -8,6 +8,7 @@
 	"github.com/sapphirewall/sapphirewall/internal/decide/discovery"
 	"github.com/sapphirewall/sapphirewall/internal/decide/gather"
 	"github.com/sapphirewall/sapphirewall/internal/decide/placement"
+	"github.com/sapphirewall/sapphirewall/internal/decide/rollout"
 	"github.com/sapphirewall/sapphirewall/internal/tables"
 	"github.com/sapphirewall/sapphirewall/internal/verdict"
 )
@@ -39,7 +40,7 @@
 func (c *call) place(now time.Time, planned gather.Attempt) *attempt {
 	s := c.s
 	p := s.poolOf(c.pools[planned.Part])
-	r := c.choose(now, p, planned.Part)
+	r, class := c.pick(now, p, planned)
 	reason := ""
 	switch {
 	case s.crashesReplicas(now, c):
@@ -59,8 +60,8 @@
 	a := &attempt{call: c, part: planned.Part, kind: planned.Kind, replica: r}
 	a.wire = connpool.Attempt{Request: &c.req.Request, Deadline: c.attemptDeadline(planned.Kind), SentAt: now, Done: func(*connpool.Attempt) { a.done() }}
 	a.startSpan(planned.Kind)
+	a.countPlaced(p, class)
 	r.observed.Sent(now)
-	p.countsOf(r.status.Version).sent++
 	if _, a.cold = s.coldRate(&r.status, now); a.cold {
 		r.coldLimiter.Reserve()
 	}
@@ -69,7 +70,6 @@
 	c.inFlight = append(c.inFlight, a)
 	c.sentByKind[planned.Kind]++
 	if planned.Kind != gather.First {
-		p.countsOf(r.status.Version).extra++
 		s.logExtraAttempt(c, r, planned, now)
 	}
 	return a
@@ -120,14 +120,37 @@
 	return true
 }
 
-// choose returns the best replica that had no attempt of the part yet, or nil.
-// s.mu is held.
-func (c *call) choose(now time.Time, p *pool, part int) *replica {
+// expired reports whether the replica has answered that the attempt's deadline passed.
+func (a *attempt) expired(now time.Time) bool {
+	w := &a.wire
+	return w.Reply != nil && w.Reply.Status >= 500 && !now.Before(w.Deadline.Add(-expirySlack))
+}
+
+// pick returns the replica for a planned attempt and its class, or nil if no replica
+// can serve it. s.mu is held.
+func (c *call) pick(now time.Time, p *pool, planned gather.Attempt) (*replica, rollout.Class) {
+	class := p.assign(now, c.route.Name, planned.Kind)
+	if r := c.choose(now, p, planned.Part, class); r != nil {
+		return r, class
+	}
+	other, ok := p.fallback(now, class)
+	if !ok {
+		return nil, class
+	}
+	return c.choose(now, p, planned.Part, other), other
+}
+
+// choose returns the best replica of a class that had no attempt of the part yet, or
+// nil. s.mu is held.
+func (c *call) choose(now time.Time, p *pool, part int, class rollout.Class) *replica {
 	var candBuf [8]placement.Candidate
 	cands := candBuf[:0]
 	var replicaBuf [8]*replica
 	replicas := replicaBuf[:0]
 	for _, r := range p.replicas {
+		if of, usable := p.classOf(r); !usable || of != class {
+			continue
+		}
 		if !c.s.eligible(c, r) || !c.s.withinColdRate(now, r) || slices.Contains(c.tried[part], r.status.ID) {
 			continue
 		}
@@ -155,11 +178,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	obs := a.replica.observed
-	counts := s.poolOf(a.call.pools[a.part]).countsOf(a.replica.status.Version)
 	took := now.Sub(w.SentAt)
-	expired := w.Reply != nil && w.Reply.Status >= 500 && !now.Before(w.Deadline.Add(-expirySlack))
+	a.countEnded(now)
 	switch {
-	case expired:
+	case a.expired(now):
 		obs.Answered(now, w.SentAt, a.call.typical)
 		a.call.stats.tail.Observe(took)
 		s.metrics.add("attempt_expired", 1)
@@ -171,13 +193,9 @@
 		s.metrics.add("attempt_rejected", 1)
 	case w.Reply != nil && w.Reply.Status >= 500:
 		obs.Failed(now, w.SentAt)
-		counts.failed++
 		s.metrics.add("attempt_failed", 1)
 	case w.Reply != nil:
 		obs.Answered(now, w.SentAt, a.call.typical)
-		if took > slowFactor*a.call.typical {
-			counts.slow++
-		}
 		a.call.stats.median.Observe(took)
 		a.call.stats.tail.Observe(took)
 		s.metrics.observe("attempt", took)
@@ -185,7 +203,6 @@
 		obs.Cancelled(w.SentAt)
 	default:
 		obs.Failed(now, w.SentAt)
-		counts.failed++
 		s.metrics.add("attempt_"+string(w.Err.Cause), 1)
 	}
 	if w.Err != nil && w.Err.Cause == verdict.ConnectionSilent {
--- a/internal/direct/options.go
+++ b/internal/direct/options.go
@@ -23,6 +23,13 @@
 	// that.
 	RetryShare float64
 	RetrySlack float64
+	// ExposureShare and ExposureSlack bound what all VMs together send to a version
+	// before it is known to be good: a share of the requests to its pool, and a number
+	// of requests beyond that. Rollback is the time until it gets none after it is
+	// known to be bad.
+	ExposureShare float64
+	ExposureSlack float64
+	Rollback      time.Duration
 	// StartedAt is when the process started; zero: now. The VM's shares of some
 	// fleet-wide limits are withheld for a while after it.
 	StartedAt time.Time
--- a/internal/direct/serve.go
+++ b/internal/direct/serve.go
@@ -11,6 +11,7 @@
 	"github.com/sapphirewall/sapphirewall/internal/connpool"
 	"github.com/sapphirewall/sapphirewall/internal/decide/gather"
 	"github.com/sapphirewall/sapphirewall/internal/decide/retry"
+	"github.com/sapphirewall/sapphirewall/internal/decide/rollout"
 	"github.com/sapphirewall/sapphirewall/internal/tables"
 	"github.com/sapphirewall/sapphirewall/internal/topk"
 	"github.com/sapphirewall/sapphirewall/internal/verdict"
@@ -66,6 +67,8 @@
 	kind    gather.Kind
 	replica *replica
 	cold    bool             // the replica was cold when it was chosen
+	move    *move            // of the pool when it was placed; nil: none
+	class   rollout.Class    // of the replica
 	wire    connpool.Attempt // the attempt as it is sent
 	span    trace.Span       // nil: not sampled
 }
@@ -171,10 +174,11 @@
 
 // servableParts counts the parts that have an eligible replica. s.mu is held.
 func (s *Service) servableParts(c *call) int {
-	n := 0
+	n, now := 0, time.Now()
 	for _, name := range c.pools {
-		for _, r := range s.poolOf(name).replicas {
-			if s.eligible(c, r) {
+		p := s.poolOf(name)
+		for _, r := range p.replicas {
+			if p.mayServe(now, r) && s.eligible(c, r) {
 				n++
 				break
 			}
--- a/internal/direct/upstreams.go
+++ b/internal/direct/upstreams.go
@@ -10,6 +10,7 @@
 	"github.com/sapphirewall/sapphirewall/internal/decide/placement"
 	"github.com/sapphirewall/sapphirewall/internal/decide/quantile"
 	"github.com/sapphirewall/sapphirewall/internal/decide/retry"
+	"github.com/sapphirewall/sapphirewall/internal/decide/rollout"
 	"github.com/sapphirewall/sapphirewall/internal/routes"
 	"github.com/sapphirewall/sapphirewall/internal/tables"
 )
@@ -21,6 +22,7 @@
 	conns       *connpool.Pool
 	distance    placement.Distance
 	coldLimiter fleetlimit.RateLimiter // of requests to it while it is cold
+	inFlight    int                    // attempts that have not ended
 }
 
 // pool is the replicas of one pool and their budget of extra attempts.
@@ -28,6 +30,11 @@
 	replicas []*replica
 	budget   *retry.SharedBudget
 	versions map[string]*versionCounts
+
+	present      rollout.Present
+	presentSince time.Time
+	move         *move           // to another version; nil: none is ordered
+	rolledBack   map[string]bool // versions that get nothing without a further order
 }
 
 // routeStats tracks the latency of attempts for one route.
@@ -195,6 +202,7 @@
 		}
 	}
 	s.groupByPool()
+	s.observeVersions(now)
 	s.applyZones(now)
 	if end := s.zones.Next(now); !end.IsZero() && (next.IsZero() || end.Before(next)) {
 		next = end
@@ -249,7 +257,7 @@
 func (s *Service) poolOf(name string) *pool {
 	p := s.pools[name]
 	if p == nil {
-		p = &pool{budget: retry.NewSharedBudget(s.extraLimits(), s.startedAt), versions: map[string]*versionCounts{}}
+		p = &pool{budget: retry.NewSharedBudget(s.extraLimits(), s.startedAt), versions: map[string]*versionCounts{}, rolledBack: map[string]bool{}}
 		s.pools[name] = p
 	}
 	return p
@@ -280,6 +288,9 @@
 	}
 	for _, p := range s.pools {
 		p.budget.SetLimits(s.extraLimits())
+		if p.move != nil {
+			p.move.exposure.SetLimits(s.exposureLimits())
+		}
 	}
 }
 
--- a/internal/settings/fields.go
+++ b/internal/settings/fields.go
@@ -46,6 +46,9 @@
 	{"direct", "cold-slack", "0", "Requests per second that are added to the fleet-wide rate limit of a cold replica.", number(0, maxSlack, func(s *Settings) *int { return &s.Direct.ColdSlack })},
 	{"direct", "retry-share", "20%", "Fleet-wide limit on extra attempts to a pool, as a share of its requests.", share(func(s *Settings) *float64 { return &s.Direct.RetryShare })},
 	{"direct", "retry-slack", "50", "Extra attempts to a pool within a few seconds that are allowed fleet-wide beyond that share.", number(0, maxSlack, func(s *Settings) *int { return &s.Direct.RetrySlack })},
+	{"direct", "exposure-share", "10%", "Fleet-wide limit on what a new version gets during its rollout, as a share of the requests to its pool.", share(func(s *Settings) *float64 { return &s.Direct.ExposureShare })},
+	{"direct", "exposure-slack", "50", "Requests to a new version during its rollout that are allowed fleet-wide beyond that share.", number(0, maxSlack, func(s *Settings) *int { return &s.Direct.ExposureSlack })},
+	{"direct", "rollback", "5s", "Time from when a version is known to be bad until it gets no more requests.", duration(time.Second, func(s *Settings) *time.Duration { return &s.Direct.Rollback })},
 
 	{"platform", "kv", "127.0.0.1:7100", "Address of the key-value service, IP:port.", addr(func(s *Settings) *string { return &s.Platform.KV })},
 	{"platform", "vms", "127.0.0.1:7101", "Address of the service that lists the VMs, IP:port.", addr(func(s *Settings) *string { return &s.Platform.VMs })},
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -78,6 +78,12 @@
 	// share of the requests, plus a fixed number.
 	RetryShare float64
 	RetrySlack int
+	// ExposureShare and ExposureSlack set the fleet-wide limit on what a new version
+	// gets before it is known to be good: a share of the requests to its pool, plus a
+	// fixed number. Rollback is the time in which a bad one gets no more.
+	ExposureShare float64
+	ExposureSlack int
+	Rollback      time.Duration
 }
 
 // Platform configures the use of the platform's services.
--- a/internal/storerelay/serve.go
+++ b/internal/storerelay/serve.go
@@ -11,10 +11,13 @@
 	"github.com/sapphirewall/sapphirewall/proto/swpb"
 )
 
-// handle answers a store request of another VM. It does so from the mirror only if
+// handle answers a request of another VM. It answers a store request from the mirror only if
 // this VM reads the prefix from the store itself: through a chain of VMs a reply
 // could be out of date.
 func (s *Service) handle(ctx context.Context, _ peer.Identity, env *swpb.Envelope) (*swpb.Envelope, error) {
+	if r := env.GetRolloutReport(); r != nil && s.onRolloutReport != nil {
+		return &swpb.Envelope{Body: &swpb.Envelope_RolloutGuidance{RolloutGuidance: s.onRolloutReport(r)}}, nil
+	}
 	req := env.GetStoreRequest()
 	s.mu.Lock()
 	m := s.mirrors[req.GetPrefix()]
@@ -37,6 +40,17 @@
 	return &swpb.Envelope{Body: &swpb.Envelope_StoreReply{StoreReply: reply}}, nil
 }
 
+// OnRolloutReport sets the function that answers the reports of other VMs on rollouts,
+// which share the sessions of this service. It must be called before Start.
+func (s *Service) OnRolloutReport(fn func(*swpb.RolloutReport) *swpb.RolloutGuidance) {
+	s.onRolloutReport = fn
+}
+
+// Call sends a request to another VM, at its address.
+func (s *Service) Call(ctx context.Context, addr string, env *swpb.Envelope) (*swpb.Envelope, error) {
+	return s.pool.Get(addr).Call(ctx, env)
+}
+
 func readMirror(ctx context.Context, m *Mirror, req *swpb.StoreRequest) *swpb.StoreReply {
 	var c platform.Changes
 	var err error
--- a/internal/storerelay/service.go
+++ b/internal/storerelay/service.go
@@ -91,6 +91,8 @@
 
 	seeds   []string // addresses of VMs to query while none is known
 	onNodes func(nodes []vmregistry.Node, all bool)
+	// onRolloutReport answers the reports of other VMs on rollouts.
+	onRolloutReport func(*swpb.RolloutReport) *swpb.RolloutGuidance
 
 	mu          sync.Mutex // guards the fields below
 	mirrors     map[string]*Mirror
