Wait at the stop for reports and writes in progress, found by a model of all VMs

Stop did not wait for reports and writes on their way, which then used a stopped service.

Change: they are counted.

--- a/internal/fleetrollout/record.go
+++ b/internal/fleetrollout/record.go
@@ -205,7 +205,7 @@
 	if era.Of(expect) != s.store.Era() {
 		expect = 0
 	}
-	go s.write(ctx, t, next, expect)
+	s.wg.Go(func() { s.write(ctx, t, next, expect) })
 }
 
 // write writes a record. After a conflict it reads what is there.
--- a/internal/fleetrollout/service.go
+++ b/internal/fleetrollout/service.go
@@ -266,7 +266,7 @@
 		}
 		link.sending = true
 		addr := s.nodes[name]
-		go s.send(ctx, t, name, addr, toProto(t.order, &r))
+		s.wg.Go(func() { s.send(ctx, t, name, addr, toProto(t.order, &r)) })
 	}
 }
 
--- /dev/null
+++ b/internal/fleetrollout/world_test.go
@@ -0,0 +1,624 @@
+package fleetrollout
+
+import (
+	"container/heap"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/sapphirewall/sapphirewall/internal/decide/rollout"
+	"github.com/sapphirewall/sapphirewall/internal/platform"
+	"github.com/sapphirewall/sapphirewall/internal/storewatch"
+	"github.com/sapphirewall/sapphirewall/internal/vmregistry"
+	"github.com/sapphirewall/sapphirewall/proto/swpb"
+)
+
+// The platform's bounds.
+const (
+	boundShare    = 0.1
+	boundSlack    = 50.0
+	boundAnswers  = 50
+	boundRollback = 5 * time.Second
+	// contactTime is how long a VM must have been undisturbed for the bounds on time to
+	// hold for it.
+	contactTime = 5 * time.Second
+)
+
+// fault is how the new version is bad.
+type fault struct {
+	after  time.Duration
+	share  float64
+	slow   float64 // factor; 0: it fails
+	route  string  // "": all
+	loaded float64 // share of the requests that the new version must get for it
+}
+
+// schedule is one play.
+type schedule struct {
+	seed     uint64
+	vms      int
+	rate     float64 // requests a second
+	duration time.Duration
+	fault    fault
+	changes  []change
+	rates    []rateChange
+}
+
+// change is a disturbance.
+type change struct {
+	at, lasts time.Duration
+	kind      string // cut, store-cut, frozen, restart, store-away
+	vm        int
+}
+
+// rateChange changes the rate of requests.
+type rateChange struct {
+	at     time.Duration
+	factor float64
+}
+
+// world is VMs, their traffic and the store, in virtual time.
+type world struct {
+	schedule
+	rng   *rand.Rand
+	begin time.Time // of the order
+
+	mu        sync.Mutex
+	vmList    []*vmModel
+	store     *storeModel
+	storeAway bool
+	logs      strings.Builder
+
+	all, got  int
+	bad       []time.Time
+	newSent   []sentRequest
+	ended     []string // "phase at"
+	oldAtEnd  int      // requests in flight at the old version when it was completed
+	inFlight  requestHeap
+	newRecent []bool // whether the last requests went to the new version
+}
+
+type sentRequest struct {
+	at time.Time
+	vm int
+}
+
+// vmModel is a VM with its service and its part of the traffic.
+type vmModel struct {
+	w         *world
+	name      string
+	index     int
+	service   *Service
+	startedAt time.Time
+	stop      func()
+
+	// Guarded by world.mu.
+	cut, storeCut, frozen int       // numbers of disturbances
+	down                  int       // number of restarts under way
+	disturbedUntil        time.Time // of the last disturbance
+	exposure              *rollout.Exposure
+	orderAt               time.Time
+	rows                  map[string]*rollout.RolloutStat
+	oldInFlight           int
+	sequence              uint64
+}
+
+// request is one in flight.
+type request struct {
+	vm       *vmModel
+	process  time.Time         // start of the process that sent it
+	exposure *rollout.Exposure // nil: sent before the order
+	class    rollout.Class
+	route    string
+	group    uint8
+	bad      bool
+	fails    bool
+	sent     time.Time
+	done     time.Time
+}
+
+type requestHeap []*request
+
+func (h requestHeap) Len() int           { return len(h) }
+func (h requestHeap) Less(i, j int) bool { return h[i].done.Before(h[j].done) }
+func (h requestHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *requestHeap) Push(x any)        { *h = append(*h, x.(*request)) }
+func (h *requestHeap) Pop() any {
+	old := *h
+	x := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return x
+}
+
+var limits = rollout.Limits{Share: boundShare, Slack: boundSlack, Rollback: boundRollback}
+
+func (w *world) order() rollout.Order {
+	return rollout.Order{Pool: "p", Version: "v2", Duration: w.duration, Revision: 7}
+}
+
+func newWorld(s schedule) *world {
+	w := &world{schedule: s, rng: rand.New(rand.NewPCG(s.seed, 1))}
+	w.store = &storeModel{w: w, entries: map[string]platform.Entry{}, changed: make(chan struct{})}
+	for i := range s.vms {
+		w.vmList = append(w.vmList, &vmModel{w: w, name: fmt.Sprintf("vm-%d", i), index: i})
+	}
+	return w
+}
+
+// start starts the service of a VM.
+func (v *vmModel) start() {
+	w := v.w
+	w.mu.Lock()
+	v.startedAt = time.Now()
+	v.exposure, v.rows, v.oldInFlight, v.sequence = nil, map[string]*rollout.RolloutStat{}, 0, 0
+	w.mu.Unlock()
+	log := zerolog.New(io.Discard)
+	if w.seed == traceSeed {
+		log = zerolog.New(&w.logs).With().Str("vm", v.name).Logger().Hook(zerolog.HookFunc(func(e *zerolog.Event, _ zerolog.Level, _ string) {
+			e.Dur("t", time.Since(w.begin))
+		}))
+	}
+	v.service = New(Config{Self: v.name, Prefix: "rollouts/", Limits: limits, Log: log}, v, vmStore{v}, v.call, v.follow)
+	ctx, cancel := context.WithCancel(context.Background())
+	_ = v.service.Start(ctx, nil)
+	v.stop = func() {
+		_ = v.service.Stop(ctx)
+		cancel()
+	}
+	var nodes []vmregistry.Node
+	for _, o := range w.vmList {
+		nodes = append(nodes, vmregistry.Node{Name: o.name, Addr: o.name})
+	}
+	v.service.SetNodes(nodes)
+}
+
+// Rollouts implements Tier.
+func (v *vmModel) Rollouts() map[rollout.Order]rollout.Phase {
+	w := v.w
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.begin.IsZero() || v.exposure == nil && (v.storeCut > 0 || w.storeAway || v.frozen > 0) {
+		return nil
+	}
+	if v.exposure == nil {
+		v.orderAt = time.Now()
+		v.exposure = rollout.NewExposure(v.limits())
+	}
+	return map[rollout.Order]rollout.Phase{w.order(): v.exposure.Phase()}
+}
+
+func (v *vmModel) limits() rollout.Limits {
+	l := limits
+	l.Slack /= float64(len(v.w.vmList))
+	return l
+}
+
+// RolloutReport implements Tier.
+func (v *vmModel) RolloutReport(now time.Time, _ rollout.Order) (rollout.Report, bool) {
+	v.w.mu.Lock()
+	defer v.w.mu.Unlock()
+	v.sequence++
+	r := rollout.Report{
+		Node: v.name, Incarnation: uint64(v.startedAt.UnixNano()), Sequence: v.sequence, Age: now.Sub(v.orderAt),
+		Phase: v.exposure.Phase(), OldInFlight: v.oldInFlight, MaxAttempt: 6 * time.Second,
+	}
+	r.Firsts, r.Sent = v.exposure.Counts()
+	for _, row := range v.rows {
+		r.Stats = append(r.Stats, *row)
+	}
+	return r, true
+}
+
+// RolloutCapacity implements Tier.
+func (v *vmModel) RolloutCapacity(time.Time, rollout.Order) rollout.Capacity {
+	return rollout.Capacity{NewReplicas: 6, NewSlots: 100}
+}
+
+// ApplyGuidance implements Tier.
+func (v *vmModel) ApplyGuidance(now time.Time, _ rollout.Order, g rollout.Guidance, recorded bool) {
+	v.w.mu.Lock()
+	defer v.w.mu.Unlock()
+	if v.exposure == nil {
+		return
+	}
+	if begin := now.Add(-g.Age); begin.Before(v.orderAt) {
+		v.orderAt = begin
+	}
+	if v.orderAt.Before(v.startedAt.Add(-2 * time.Second)) {
+		l := v.limits()
+		l.Slack = 0
+		v.exposure.SetLimits(l)
+	}
+	v.exposure.Heard(now, g.Phase, recorded)
+}
+
+// networkDelay is the time of a message from one VM to another.
+const networkDelay = 10 * time.Millisecond
+
+// call calls another VM. The call of a VM that is cut off is lost.
+func (v *vmModel) call(ctx context.Context, addr string, env *swpb.Envelope) (*swpb.Envelope, error) {
+	var to *vmModel
+	for _, o := range v.w.vmList {
+		if o.name == addr {
+			to = o
+		}
+	}
+	time.Sleep(networkDelay)
+	if v.unreachable() || to.unreachable() {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	g := to.service.Handle(env.GetRolloutReport())
+	time.Sleep(networkDelay)
+	if v.unreachable() || to.unreachable() {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	return &swpb.Envelope{Body: &swpb.Envelope_RolloutGuidance{RolloutGuidance: g}}, nil
+}
+
+func (v *vmModel) unreachable() bool {
+	v.w.mu.Lock()
+	defer v.w.mu.Unlock()
+	return v.cut > 0 || v.frozen > 0
+}
+
+func (v *vmModel) withoutStore() bool {
+	v.w.mu.Lock()
+	defer v.w.mu.Unlock()
+	return v.w.storeAway || v.storeCut > 0 || v.frozen > 0
+}
+
+// follow implements FollowFunc by polling.
+func (v *vmModel) follow(ctx context.Context, _ string, h storewatch.Handler) {
+	seen, unavailable := uint64(0), false
+	for first := true; ctx.Err() == nil; time.Sleep(100 * time.Millisecond) {
+		if away := v.withoutStore(); away != unavailable {
+			unavailable = away
+			if away {
+				h.Unavailable(platform.ErrUnavailable)
+			} else {
+				h.Available()
+			}
+		}
+		if unavailable {
+			continue
+		}
+		entries := v.w.store.since(seen)
+		for _, e := range entries {
+			seen = max(seen, e.Revision)
+		}
+		switch {
+		case first:
+			h.Replace(entries, seen)
+		case len(entries) > 0:
+			h.Apply(entries)
+		}
+		first = false
+	}
+}
+
+// storeModel is the store, with the records and statuses.
+type storeModel struct {
+	w        *world
+	mu       sync.Mutex
+	revision uint64
+	entries  map[string]platform.Entry
+	changed  chan struct{}
+}
+
+func (s *storeModel) since(revision uint64) []platform.Entry {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []platform.Entry
+	for _, e := range s.entries {
+		if e.Revision > revision {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+// vmStore is the store as a VM reaches it.
+type vmStore struct{ v *vmModel }
+
+// PutRollout implements Store. Some replies are lost, and some writes are late.
+func (s vmStore) PutRollout(ctx context.Context, key string, expect uint64, value []byte, _ rollout.Order, p rollout.Phase) (uint64, error) {
+	w := s.v.w
+	time.Sleep(4 * time.Millisecond)
+	if s.v.withoutStore() {
+		return 0, platform.ErrUnavailable
+	}
+	st := w.store
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	if st.entries[key].Revision != expect {
+		return 0, platform.ErrConflict
+	}
+	st.revision++
+	st.entries[key] = platform.Entry{Key: key, Value: value, Revision: st.revision}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.ended = append(w.ended, fmt.Sprintf("%s at %.1f s", p, time.Since(w.begin).Seconds()))
+	if p == rollout.Completed {
+		for _, r := range w.inFlight {
+			if r.class == rollout.OldVersion && r.vm.disturbedUntil.Before(time.Now().Add(-contactTime)) {
+				w.oldAtEnd++
+			}
+		}
+	}
+	if w.rng.Float64() < 0.1 && ctx.Err() == nil {
+		return 0, platform.ErrUnknown
+	}
+	return st.revision, nil
+}
+
+// Get implements Store.
+func (s vmStore) Get(_ context.Context, key string) (platform.Entry, error) {
+	time.Sleep(4 * time.Millisecond)
+	if s.v.withoutStore() {
+		return platform.Entry{}, platform.ErrUnavailable
+	}
+	st := s.v.w.store
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	e, ok := st.entries[key]
+	if !ok {
+		return e, platform.ErrNotFound
+	}
+	return e, nil
+}
+
+// Era implements Store.
+func (s vmStore) Era() uint64 { return 0 }
+
+// play plays the schedule and returns what broke the bounds.
+func (w *world) play() []string {
+	for _, v := range w.vmList {
+		v.start()
+	}
+	time.Sleep(time.Second)
+	w.mu.Lock()
+	w.begin = time.Now()
+	w.mu.Unlock()
+	const step = 2 * time.Millisecond
+	end := w.duration + 3*time.Second
+	for t := time.Duration(0); t < end; t += step {
+		w.disturb(t, step)
+		w.traffic(t, step)
+		time.Sleep(step)
+	}
+	for _, v := range w.vmList {
+		if v.down == 0 {
+			v.stop()
+		}
+	}
+	return w.violations()
+}
+
+// disturb begins and ends the disturbances that are due.
+func (w *world) disturb(t, step time.Duration) {
+	due := func(at time.Duration) bool { return at >= t && at < t+step }
+	for _, c := range w.changes {
+		v := w.vmList[c.vm]
+		begins, ends := due(c.at), due(c.at+c.lasts)
+		if !begins && !ends {
+			continue
+		}
+		delta := 1
+		if ends {
+			delta = -1
+		}
+		if c.kind == "restart" {
+			w.restart(v, begins)
+			continue
+		}
+		w.mu.Lock()
+		switch c.kind {
+		case "cut":
+			v.cut += delta
+		case "store-cut":
+			v.storeCut += delta
+		case "frozen":
+			v.frozen += delta
+		case "store-away":
+			w.storeAway = begins
+		}
+		if c.kind != "store-away" && c.kind != "cut" { // a VM cut off from the others alone is in touch
+			v.disturbedUntil = w.begin.Add(t)
+		}
+		w.mu.Unlock()
+	}
+}
+
+// restart ends the process of a VM, or starts it if no other restart is under way.
+func (w *world) restart(v *vmModel, ends bool) {
+	w.mu.Lock()
+	if ends {
+		v.down++
+	} else {
+		v.down--
+	}
+	first, last := ends && v.down == 1, !ends && v.down == 0
+	w.mu.Unlock()
+	switch {
+	case first:
+		v.stop()
+		w.mu.Lock()
+		v.exposure = nil
+		v.frozen++
+		w.mu.Unlock()
+	case last:
+		w.mu.Lock()
+		v.frozen--
+		v.disturbedUntil = time.Now()
+		w.mu.Unlock()
+		v.start()
+	}
+}
+
+// routes of the requests, with their parts of the traffic.
+var routeShares = map[string]float64{"often": 0.6, "sometimes": 0.3, "seldom": 0.1}
+
+func (w *world) drawRoute() string {
+	x := w.rng.Float64()
+	for _, name := range []string{"often", "sometimes", "seldom"} {
+		if x -= routeShares[name]; x < 0 {
+			return name
+		}
+	}
+	return "seldom"
+}
+
+// traffic ends the requests that are due and sends those of a step.
+func (w *world) traffic(t, step time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := time.Now()
+	for len(w.inFlight) > 0 && !w.inFlight[0].done.After(now) {
+		w.end(heap.Pop(&w.inFlight).(*request))
+	}
+	rate := w.rate
+	for _, c := range w.rates {
+		if t >= c.at {
+			rate = w.rate * c.factor
+		}
+	}
+	for x := rate * step.Seconds(); x > 0; x-- {
+		if x >= 1 || w.rng.Float64() < x {
+			w.send(now)
+		}
+	}
+}
+
+// send sends one request. w.mu is held.
+func (w *world) send(now time.Time) {
+	v := w.vmList[w.rng.IntN(len(w.vmList))]
+	if v.frozen > 0 {
+		return
+	}
+	r := &request{vm: v, process: v.startedAt, exposure: v.exposure, route: w.drawRoute(), sent: now}
+	if v.exposure != nil {
+		r.class = v.exposure.Assign(now, r.route)
+	}
+	inTime := now.Sub(w.begin) < w.duration
+	if inTime {
+		w.all++
+	}
+	work := time.Duration(w.rng.ExpFloat64() * float64(20*time.Millisecond))
+	if r.class == rollout.NewVersion {
+		v.exposure.CountSent(r.route)
+		w.newSent = append(w.newSent, sentRequest{now, v.index})
+		if inTime {
+			w.got++
+		}
+		r.group = uint8(w.rng.IntN(6))
+		if w.affects(now, r) {
+			r.bad = true
+			r.fails = w.fault.slow == 0
+			if !r.fails {
+				work = time.Duration(float64(work) * w.fault.slow)
+			}
+		}
+	} else {
+		v.oldInFlight++
+	}
+	w.newRecent = append(w.newRecent, r.class == rollout.NewVersion)
+	if len(w.newRecent) > 50 {
+		w.newRecent = w.newRecent[1:]
+	}
+	r.done = now.Add(work + 2*networkDelay)
+	heap.Push(&w.inFlight, r)
+}
+
+func (w *world) affects(now time.Time, r *request) bool {
+	f := w.fault
+	recent := 0
+	for _, isNew := range w.newRecent {
+		if isNew {
+			recent++
+		}
+	}
+	return f.share > 0 && now.Sub(w.begin) >= f.after && (f.route == "" || f.route == r.route) &&
+		float64(recent) >= f.loaded*float64(len(w.newRecent)) && w.rng.Float64() < f.share
+}
+
+// end ends a request. w.mu is held.
+func (w *world) end(r *request) {
+	if r.bad {
+		w.bad = append(w.bad, r.done)
+	}
+	v := r.vm
+	if v.startedAt != r.process {
+		return // sent by a former process
+	}
+	if r.class == rollout.OldVersion {
+		v.oldInFlight--
+	}
+	if r.exposure == nil || v.exposure != r.exposure {
+		return // sent before the order
+	}
+	v.exposure.CountAnswered()
+	key := fmt.Sprint(r.class, r.route, r.group)
+	row := v.rows[key]
+	if row == nil {
+		row = &rollout.RolloutStat{Class: r.class, Route: r.route, Group: r.group}
+		v.rows[key] = row
+	}
+	took := r.done.Sub(r.sent)
+	row.Sums.Requests++
+	row.Sums.LatencySum += took
+	bucket := 0
+	for b := took / rollout.BucketUnit; b > 0; b /= 2 {
+		bucket++
+	}
+	row.Sums.LatencyBuckets[min(bucket, rollout.Buckets-1)]++
+	if r.fails {
+		row.Sums.Errors++
+	}
+}
+
+// violations returns what broke the bounds.
+func (w *world) violations() []string {
+	var out []string
+	if allowed := boundShare*float64(w.all) + boundSlack; w.fault.share > 0 && float64(w.got) > allowed {
+		out = append(out, fmt.Sprintf("the bad version got %d of %d, %.0f allowed", w.got, w.all, allowed))
+	}
+	if len(w.bad) >= boundAnswers {
+		limit := w.bad[boundAnswers-1].Add(boundRollback)
+		late := map[int]int{}
+		for _, s := range w.newSent {
+			if s.at.After(limit) && s.at.Sub(w.vmList[s.vm].disturbedUntil) > contactTime {
+				late[s.vm]++
+			}
+		}
+		if len(late) > 0 {
+			out = append(out, fmt.Sprintf("sent later than %v after the bad answer that counts, by VM: %v", boundRollback, late))
+		}
+	}
+	if w.oldAtEnd > 0 {
+		out = append(out, fmt.Sprintf("%d requests in flight at the old version when it was given up", w.oldAtEnd))
+	}
+	return out
+}
+
+// outcome returns the last phase recorded and when.
+func (w *world) outcome() (phase string, at float64) {
+	if len(w.ended) == 0 {
+		return "", 0
+	}
+	last := w.ended[len(w.ended)-1]
+	phase, _, _ = strings.Cut(last, " ")
+	_, _ = fmt.Sscanf(strings.TrimPrefix(last, phase), " at %f s", &at)
+	return phase, at
+}
+
+func (s schedule) String() string {
+	return fmt.Sprintf("seed %d: %d VMs, %.0f/s, %v, fault %+v, changes %v, rates %v", s.seed, s.vms, s.rate, s.duration, s.fault, s.changes, s.rates)
+}
