--- a/internal/decide/rollout/order.go
+++ b/internal/decide/rollout/order.go
@@ -11,8 +11,8 @@
 type Order struct {
 	Pool     string
 	Version  string
-	Duration time.Duration
-	Revision uint64 // of the store, when the order was first read
+	Duration time.Duration // in whole milliseconds
+	Revision uint64        // of the store, when the order was first read
 }
 
 // Repeats reports whether an order that is read now is a former one that was written
