Compare versions by the shift of their latencies too, and wait for answers under load

What callers would have seen, from the model: a version that answers half of its requests 5 times slower was completed (20 VMs, 60 requests a second, 20.5 s), and one that fails 60% under load as well (12.4 s, 150 a second).

Cause: the share of answers above 4 times the median says little when latencies vary much in themselves and samples are few; and a commit could be completed before enough answers under the full load had come.

Change: the mean of the logarithms of the latencies is compared too, without the slowest replicas, by a normal approximation; a completion waits for 60 answers since the takeover began, or those of half a second.

--- a/internal/decide/rollout/fleetjudge.go
+++ b/internal/decide/rollout/fleetjudge.go
@@ -26,6 +26,10 @@
 	// commitSpread is how long after a commit was recorded a VM that the judge does
 	// not hear may take to follow it.
 	commitSpread = 2 * time.Second
+	// maxLoadSamples is the number of answers that the new version must have given since
+	// the takeover began, or those of loadSampleTime if that is fewer.
+	maxLoadSamples = 60
+	loadSampleTime = 500 * time.Millisecond
 	// maxUtilization is the share of the new version's slots that the present load may
 	// take.
 	maxUtilization = 0.9
@@ -79,7 +83,10 @@
 	phase    Phase
 	reason   string
 	commitAt time.Time
-	wanted   Phase // to be recorded before it is in force; NoPhase: none
+	// answersBefore is the number of answers of the new version when the takeover
+	// began.
+	answersBefore uint64
+	wanted        Phase // to be recorded before it is in force; NoPhase: none
 
 	vms            []string
 	capacity       Capacity
@@ -157,7 +164,10 @@
 		return
 	}
 	j.phase, j.wanted, j.held = p, NoPhase, ""
-	if p == Commit {
+	switch p {
+	case Takeover:
+		j.answersBefore = j.newAnswers()
+	case Commit:
 		j.commitAt = now
 	}
 }
@@ -425,12 +435,26 @@
 			return "a VM that is not heard may have requests at the old version"
 		}
 	}
+	if float64(j.newAnswers()-j.answersBefore) < min(maxLoadSamples, loadSampleTime.Seconds()*j.rate(now)) {
+		return "too few answers of the new version under load"
+	}
 	if found := j.findIn(now, isSuspicion); found != "" {
 		return "suspected: " + found
 	}
 	return ""
 }
 
+// newAnswers is the number of answers of the new version.
+func (j *FleetJudge) newAnswers() uint64 {
+	var n uint64
+	for _, r := range j.routes {
+		for i := range r.news {
+			n += r.news[i].total.Requests
+		}
+	}
+	return n
+}
+
 // maxAttempt is the longest that an attempt at the pool may last.
 func (j *FleetJudge) maxAttempt() time.Duration {
 	var d time.Duration
--- a/internal/decide/rollout/fleetsums.go
+++ b/internal/decide/rollout/fleetsums.go
@@ -123,7 +123,15 @@
 }
 
 // isRegression requires the evidence of a veto.
-func isRegression(p *pair) Regression { return fleetwide.regression(p.groups[:], &p.old) }
+func isRegression(p *pair) Regression {
+	if found := fleetwide.regression(p.groups[:], &p.old); found != NoRegression {
+		return found
+	}
+	if isShifted(p, vetoEvidence) {
+		return Slow
+	}
+	return NoRegression
+}
 
 // suspicionEvidence is the evidence, in nats, from which a version is not given more
 // requests.
@@ -142,5 +150,8 @@
 		}
 		return t.regression
 	}
+	if isShifted(p, suspicionEvidence) {
+		return Slow
+	}
 	return NoRegression
 }
