Sample rare routes of a new version as often as the others

What callers would have seen: a version that is bad on one rare route passed its trial, as that route was hardly sampled.

Cause: a route was known to the trial only once it arrived while a sample was due; a frequent route took each sample at once, so the rare one was met by chance.

Change: a route counts from its first request on. The new spec 'samples a rare route like the others' got 199 samples of the frequent route and none of the rare one (a tenth of the requests) before. Specs of Exposure, Present and Order are added with it.

--- a/internal/decide/rollout/exposure.go
+++ b/internal/decide/rollout/exposure.go
@@ -150,11 +150,11 @@
 // sampleDue reports whether the next sample may be a request on a route. Routes with
 // fewer samples than the others come first, so that a fault on a rare route shows.
 func (e *Exposure) sampleDue(route string) bool {
+	e.routes[route] += 0 // a route counts from its first request on
 	room := trialShare*e.limits.Share*float64(e.firsts) + trialSlack*e.limits.Slack - float64(e.sent)
 	if room < 1 {
 		return false
 	}
-	e.routes[route] += 0 // a route counts from its first request on
 	mean := float64(e.sent) / float64(len(e.routes))
 	return room >= 1+rareReserve || float64(e.routes[route]) <= mean
 }
