Judge slow versions by smaller differences, and rates by the last second too

Cause: twelve nats were asked for however many answers were bad, so that fifty could be reached first; the tolerances for slow answers were those of a form that has more samples; the rate was a mean over four seconds; a lost reply to a write counted as an outage of a second; a takeover ended at every small rise of the rate.

Change: 15 answers beyond the old version's rate need 8 nats; smaller tolerances; a shift of latencies needs 15 answers; the higher of two rates; a takeover ends only if a quarter more is expected than fits; beyond the time of an order a suspected version is tried under load; after a lost reply the record is read; a completion waits for 80 answers under load, or those of 0.8 s. The latency of a cold replica counts as the usual one, not as none, which hid slowness.

--- a/internal/decide/rollout/fleetjudge.go
+++ b/internal/decide/rollout/fleetjudge.go
@@ -19,8 +19,13 @@
 	// factor on the rate of requests by which the rest of the time is judged.
 	limitMargin = 0.95
 	rateMargin  = 1.1
-	// rateWindow is the time over which the rate of requests is measured.
-	rateWindow = 4 * time.Second
+	// takeoverSlack keeps a takeover from ending at every small rise of the rate. The
+	// limits of the VMs hold all the while.
+	takeoverSlack = 1.25
+	// rateWindow is the time over which the rate of requests is measured, and
+	// shortRateWindow that in which it may just have risen.
+	rateWindow      = 4 * time.Second
+	shortRateWindow = time.Second
 	// heardWithin is the time within which a VM has reported to count as heard.
 	heardWithin = 1500 * time.Millisecond
 	// commitSpread is how long after a commit was recorded a VM that the judge does
@@ -28,8 +33,8 @@
 	commitSpread = 2 * time.Second
 	// maxLoadSamples is the number of answers that the new version must have given since
 	// the takeover began, or those of loadSampleTime if that is fewer.
-	maxLoadSamples = 60
-	loadSampleTime = 500 * time.Millisecond
+	maxLoadSamples = 80
+	loadSampleTime = 800 * time.Millisecond
 	// maxUtilization is the share of the new version's slots that the present load may
 	// take.
 	maxUtilization = 0.9
@@ -292,9 +297,11 @@
 // decideTrial begins the takeover, or a probe of a version that is suspected.
 func (j *FleetJudge) decideTrial(now time.Time) {
 	suspicion := j.findIn(now, isSuspicion)
-	why := j.whyNoTakeover(now)
+	why := j.whyNoTakeover(now, 1)
+	// Beyond the time of the order, what may be a fault under load is found under load.
+	late := j.age(now) >= j.order.Duration
 	switch {
-	case suspicion != "":
+	case suspicion != "" && (why != "" || !late):
 		j.enter(now, Probe)
 		j.held = "suspected: " + suspicion
 	case why != "":
@@ -308,7 +315,7 @@
 // decideTakeover continues the takeover, ends it, or asks for the commit.
 func (j *FleetJudge) decideTakeover(now time.Time) {
 	j.wanted = NoPhase
-	why := j.whyNoTakeover(now)
+	why := j.whyNoTakeover(now, takeoverSlack)
 	if why != "" {
 		j.enter(now, Trial)
 		j.held = why
@@ -330,7 +337,8 @@
 }
 
 // whyNoTakeover returns why the new version may not get nearly all requests now, or "".
-func (j *FleetJudge) whyNoTakeover(now time.Time) string {
+// slack is the factor by which the requests expected may exceed the room for them.
+func (j *FleetJudge) whyNoTakeover(now time.Time, slack float64) string {
 	age := j.age(now)
 	switch {
 	case age < time.Duration(takeoverFrom*float64(j.order.Duration)):
@@ -343,7 +351,7 @@
 		return "most VMs are not heard"
 	case j.capacity.NewSlots > 0 && j.concurrency(now) > maxUtilization*float64(j.capacity.NewSlots):
 		return "the replicas of the new version are too few for the load"
-	case age < j.order.Duration && j.expected(now) > j.room():
+	case age < j.order.Duration && j.expected(now) > slack*j.room():
 		return "too many requests until the end of the time"
 	}
 	return ""
@@ -382,13 +390,24 @@
 	}
 }
 
-// rate is the number of requests a second.
+// rate is the number of requests a second, the higher one of both windows.
 func (j *FleetJudge) rate(now time.Time) float64 {
+	return max(j.rateOver(now, rateWindow), j.rateOver(now, shortRateWindow))
+}
+
+// rateOver is the number of requests a second in a window.
+func (j *FleetJudge) rateOver(now time.Time, window time.Duration) float64 {
 	if len(j.rates) == 0 {
 		return 0
 	}
 	first, last := j.rates[0], j.rates[len(j.rates)-1]
-	elapsed := max(now.Sub(first.at), time.Second)
+	for _, r := range j.rates {
+		if now.Sub(r.at) < window {
+			break
+		}
+		first = r
+	}
+	elapsed := max(now.Sub(first.at), shortRateWindow)
 	return float64(last.firsts-first.firsts) / elapsed.Seconds()
 }
 
--- a/internal/decide/rollout/fleetsums.go
+++ b/internal/decide/rollout/fleetsums.go
@@ -68,8 +68,9 @@
 // concurrent with a test for answers that are much slower.
 var fleetwide = func() tolerances {
 	t := concurrent
-	t.slow8x = tolerance{1.5, 0.04}
-	t.slow4x = tolerance{1.5, 0.07}
+	t.slow8x = tolerance{1.5, 0.01}
+	t.slow4x = tolerance{1.5, 0.02}
+	t.mean = 1.3
 	return t
 }()
 
@@ -130,6 +131,32 @@
 	if isShifted(p, vetoEvidence) {
 		return Slow
 	}
+	return isLarge(p)
+}
+
+// A difference of many answers needs less evidence: by then the platform may count as
+// many bad ones.
+const (
+	largeExcess         = 15.0 // answers
+	largeExcessEvidence = 8.0  // in nats
+)
+
+// isLarge returns the regression that shows in many answers beyond the old version's
+// rate. Replicas that differ from the others are left out.
+func isLarge(p *pair) Regression {
+	for _, t := range fleetwide.criteria(&p.old) {
+		rest := sumWithoutOutliers(p.groups[:], t)
+		if p.old.Requests == 0 || rest.Requests == 0 {
+			continue
+		}
+		usual := float64(t.events(&p.old)) / float64(p.old.Requests) * float64(rest.Requests)
+		if float64(t.events(&rest))-usual < largeExcess || t.regression == Slow && !fleetwide.meanRegressed(&rest, &p.old) {
+			continue
+		}
+		if t.tolerance.excessEvidence(t.events(&rest), rest.Requests, t.events(&p.old), p.old.Requests) >= largeExcessEvidence || t.regression == Slow && isShifted(p, largeExcessEvidence) {
+			return t.regression
+		}
+	}
 	return NoRegression
 }
 
--- a/internal/decide/rollout/shift.go
+++ b/internal/decide/rollout/shift.go
@@ -3,8 +3,12 @@
 import "sort"
 
 // maxShift is the highest tolerated increase of the mean binary logarithm of the
-// latency: a version may be a third slower.
-const maxShift = 0.4
+// latency: a version may be a fifth slower.
+const maxShift = 0.25
+
+// minShiftRequests is the number of answers from which the normal approximation is
+// used.
+const minShiftRequests = 15
 
 // logMoments returns the mean and the variance of the bucket numbers, which are binary
 // logarithms of the latencies.
@@ -29,7 +33,7 @@
 // maxShift above those of the old version, by the normal approximation. Unlike the
 // share of slow answers it grows with the slowness of each.
 func shiftEvidence(s, old *Sums) float64 {
-	if s.Requests < minEvents || old.Requests < minEvents {
+	if s.Requests < minShiftRequests || old.Requests < minShiftRequests {
 		return 0
 	}
 	mean, variance := s.logMoments()
--- a/internal/direct/versions.go
+++ b/internal/direct/versions.go
@@ -402,7 +402,7 @@
 }
 
 // record counts one attempt. The latency of a replica that is cold shows nothing of
-// its version.
+// its version, so the usual one takes its place.
 func (m *move) record(a *attempt, took time.Duration, failed, lost bool) {
 	id := rolloutRow{class: a.class, route: a.call.route.Name}
 	if a.class == rollout.NewVersion {
@@ -414,7 +414,7 @@
 		m.rows[id] = sums
 	}
 	if a.wire.SentAt.Before(a.replica.status.ColdEnd) {
-		took = 0
+		took = a.call.typical
 	}
 	sums.Requests++
 	sums.LatencySum += took
--- a/internal/fleetrollout/record.go
+++ b/internal/fleetrollout/record.go
@@ -208,7 +208,7 @@
 	s.wg.Go(func() { s.write(ctx, t, next, expect) })
 }
 
-// write writes a record. After a conflict it reads what is there.
+// write writes a record. After a conflict or a lost reply it reads what is there.
 func (s *Service) write(ctx context.Context, t *task, next record, expect uint64) {
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
@@ -218,7 +218,7 @@
 		next.revision, err = s.store.PutRollout(ctx, key, expect, value, t.order, next.phase)
 	}
 	read := next
-	if errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, platform.ErrConflict) || errors.Is(err, platform.ErrUnknown) {
 		read, err = s.read(ctx, t.order.Pool, key)
 	}
 	s.mu.Lock()
--- a/internal/fleetrollout/schedules_test.go
+++ b/internal/fleetrollout/schedules_test.go
@@ -12,6 +12,7 @@
 var (
 	schedules = flag.Int("schedules", 40, "number of random schedules")
 	firstSeed = flag.Uint64("first-seed", 1, "seed of the first schedule")
+	plain     = flag.Bool("trace-plain", false, "print the logs of the schedule without its disturbances")
 	trace     = flag.Uint64("trace-seed", 0, "seed of a schedule whose logs are printed")
 )
 
@@ -132,6 +133,10 @@
 		return
 	}
 	traceSeed = *trace
-	p := play(t, drawSchedule(*trace))
-	t.Logf("%v\n%s\n%s at %.1f s, got %d of %d: %v", drawSchedule(*trace), p.logs, p.phase, p.at, p.got, p.all, p.violations)
+	s := drawSchedule(*trace)
+	if *plain {
+		s.changes, s.rates = nil, nil
+	}
+	p := play(t, s)
+	t.Logf("%v\n%s\n%s at %.1f s, got %d of %d: %v", s, p.logs, p.phase, p.at, p.got, p.all, p.violations)
 }
