--- a/internal/fleetrollout/service.go
+++ b/internal/fleetrollout/service.go
@@ -25,6 +25,8 @@
 // The intervals and timeouts of the service.
 const (
 	tickInterval = 50 * time.Millisecond
+	// idleInterval is the time between two looks for orders while there are none.
+	idleInterval = 250 * time.Millisecond
 	// numJudges is two, so that one has all samples when the other fails.
 	numJudges = 2
 	// trialReportInterval is the time between two reports of a VM to a judge,
@@ -89,7 +91,7 @@
 	links  map[string]*judgeLink
 	judge  *rollout.FleetJudge // nil: this VM has not been a judge of it
 	logged string              // last reason logged why the next phase waits
-	heldAt time.Time           // since when the phase that the store lacks is final
+	heldAt time.Time           // since when the store lacks a final phase
 
 	record  record // as last read or written
 	writing bool
@@ -185,20 +187,25 @@
 }
 
 func (s *Service) run(ctx context.Context) {
-	tick := time.NewTicker(tickInterval)
-	defer tick.Stop()
+	timer := time.NewTimer(idleInterval)
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-tick.C:
-			s.tick(ctx, time.Now())
+		case <-timer.C:
 		}
+		next := idleInterval
+		if s.tick(ctx, time.Now()) {
+			next = tickInterval
+		}
+		timer.Reset(next)
 	}
 }
 
-// tick reports on all orders and decides on those that this VM judges.
-func (s *Service) tick(ctx context.Context, now time.Time) {
+// tick reports on all orders and decides on those that this VM judges. It reports
+// whether there are any.
+func (s *Service) tick(ctx context.Context, now time.Time) bool {
 	orders := s.tier.Rollouts()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -212,6 +219,7 @@
 		s.report(ctx, now, t, phase)
 		s.decide(ctx, now, t)
 	}
+	return len(orders) > 0
 }
 
 // taskOf returns the task of an order. s.mu is held.
