--- a/internal/decide/rollout/fleetsums.go
+++ b/internal/decide/rollout/fleetsums.go
@@ -240,7 +240,7 @@
 
 // suspicionEvidence is the evidence, in nats, from which a version is not given more
 // requests.
-const suspicionEvidence = 4.0
+const suspicionEvidence = 5.0
 
 // isSuspicion requires less evidence, as a version that may be bad must not replace
 // the old one yet.
