Read and log the rate limits that upstreams name

Answers are decoded into upstreamlimit.Notice; each change is a line of kind limit, and values that are no rate are counted. What is sent does not change yet.

--- a/internal/connpool/attempt.go
+++ b/internal/connpool/attempt.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"time"
 
+	"github.com/sapphirewall/sapphirewall/internal/decide/upstreamlimit"
 	"github.com/sapphirewall/sapphirewall/internal/verdict"
 )
 
@@ -41,6 +42,7 @@
 	Misdirected bool
 	Load        Load
 	HasLoad     bool
+	Notice      upstreamlimit.Notice
 	Header      []Header // to be passed on
 	Body        []byte
 	Close       bool          // the connection ends with this reply
--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -212,6 +212,7 @@
 		go a.replica.conns.DropIdle(w.SentAt)
 	}
 	a.settle(now)
+	s.observeNotice(now, a)
 	if w.Reply != nil && w.Reply.HasLoad {
 		l := w.Reply.Load
 		obs.ObserveLoad(now, l.Running, l.Waiting, l.Slots)
--- a/internal/direct/service.go
+++ b/internal/direct/service.go
@@ -13,6 +13,7 @@
 	"github.com/sapphirewall/sapphirewall/internal/connpool"
 	"github.com/sapphirewall/sapphirewall/internal/decide/discovery"
 	"github.com/sapphirewall/sapphirewall/internal/decide/retry"
+	"github.com/sapphirewall/sapphirewall/internal/decide/upstreamlimit"
 	"github.com/sapphirewall/sapphirewall/internal/decide/zonehold"
 	"github.com/sapphirewall/sapphirewall/internal/kernel"
 	"github.com/sapphirewall/sapphirewall/internal/routes"
@@ -54,9 +55,10 @@
 	upstreams         *discovery.Machine
 	upstreamsRead     bool // the registrations have been read at least once
 	zones             *zonehold.Holder
-	zonesOutOfService map[string]bool     // by zones
-	replicas          map[string]*replica // by upstream ID
-	retired           []*connpool.Pool    // of former replicas, until their attempts have ended
+	zonesOutOfService map[string]bool                      // by zones
+	replicas          map[string]*replica                  // by upstream ID
+	limits            map[incarnation]*upstreamlimit.Limit // also of upstreams that are not usable now
+	retired           []*connpool.Pool                     // of former replicas, until their attempts have ended
 	pools             map[string]*pool
 	backlog           retry.Backlog
 	routes            map[string]*routeStats
@@ -78,7 +80,7 @@
 	return &Service{
 		startedAt: o.StartedAt,
 		opts:      o, log: telemetry.NewRateLimitedLogger(log), metrics: newMetrics(),
-		upstreams: discovery.New(), zones: zonehold.New(), zonesOutOfService: map[string]bool{}, replicas: map[string]*replica{},
+		upstreams: discovery.New(), zones: zonehold.New(), zonesOutOfService: map[string]bool{}, replicas: map[string]*replica{}, limits: map[incarnation]*upstreamlimit.Limit{},
 		pools: map[string]*pool{}, routes: map[string]*routeStats{},
 		suspects: suspects.NewBoard(),
 		rng:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
--- a/internal/direct/upstreams.go
+++ b/internal/direct/upstreams.go
@@ -11,6 +11,7 @@
 	"github.com/sapphirewall/sapphirewall/internal/decide/quantile"
 	"github.com/sapphirewall/sapphirewall/internal/decide/retry"
 	"github.com/sapphirewall/sapphirewall/internal/decide/rollout"
+	"github.com/sapphirewall/sapphirewall/internal/decide/upstreamlimit"
 	"github.com/sapphirewall/sapphirewall/internal/routes"
 	"github.com/sapphirewall/sapphirewall/internal/tables"
 )
@@ -22,6 +23,7 @@
 	conns       *connpool.Pool
 	distance    placement.Distance
 	coldLimiter fleetlimit.RateLimiter // of requests to it while it is cold
+	limit       *upstreamlimit.Limit   // that it names itself
 	inFlight    int                    // attempts that have not ended
 }
 
@@ -201,6 +203,7 @@
 			s.log.Info("upstreams").Str("upstream", id).Str("pool", r.status.Pool).Msg("upstream removed; it gets no more requests")
 		}
 	}
+	s.dropOldLimits(now)
 	s.groupByPool()
 	s.observeVersions(now)
 	s.applyZones(now)
@@ -232,6 +235,7 @@
 			observed: placement.NewReplica(st.Slots),
 			conns:    connpool.NewPool(st.ID, st.Addr, s.connectionLimit(st.Pool, s.distance(st.Zone)), s.opts.Codec, s.opts.Dial, s.metrics.count),
 			distance: s.distance(st.Zone),
+			limit:    s.limitOf(&st),
 		}
 		r.coldLimiter.Start(s.startedAt)
 		s.replicas[st.ID] = r
