Share the limits that upstreams name among all VMs

Cause: nothing kept to such a limit. And a limit for all VMs together can't be kept by each VM alone: a bucket of one request at each of 9 or 88 VMs is beyond 1.5 x 4 + 5 at a limit of 1 a second, whatever the rate it fills at.

Now each VM has a share of rate and burst (decide/upstreamlimit). VMs are ranked for each upstream, those of its region first; only as many have a share as get a burst of one out of the limit plus 2, so that bursts and rates of all add up to at most 5 times the limit plus 2 in 4 s. Choosing a replica, for a first attempt, hedge, retry or probe, takes from the share; requests that wait for a connection count until they have arrived, and those that were chosen before the limit was known are chosen anew. What has no room is refused at once with the time until there is, or left out of the answer; more urgent requests go first. An upstream that names a limit does not count as capacity for a version that is to take over.

Ruled out: whole units for each VM (0 or 1 a second at limits below the number of VMs), a bucket of one for each VM, turns by the clock (clocks step here), each VM learning of the end by trying (88 tries at the end of a limit of 4 a second).

--- a/internal/decide/upstreamlimit/limit.go
+++ b/internal/decide/upstreamlimit/limit.go
@@ -8,6 +8,8 @@
 	rate    float64   // requests a second from all VMs together; 0: none
 	since   time.Time // when rate was first heard
 	heardAt time.Time // when the upstream last confirmed rate, to this VM or another one
+
+	allowance allowance
 }
 
 // Rate returns the limit in requests a second; ok is false if there is none.
@@ -53,6 +55,18 @@
 	if rate == l.rate {
 		return false
 	}
+	if l.rate == 0 {
+		// The share fills up from now on.
+		l.allowance.share, l.allowance.tokens, l.allowance.filledAt = Share{}, 0, at
+	}
 	l.rate, l.since = rate, at
 	return true
 }
+
+// Report is what a VM knows of the limit of an upstream, for other VMs.
+type Report struct {
+	Upstream string
+	Start    int64   // incarnation of the upstream
+	Rate     float64 // 0: the limit has ended
+	HeardAt  time.Time
+}
--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -46,7 +46,7 @@
 	case s.crashesReplicas(now, c):
 		reason = "requests like this one crash replicas"
 	case r == nil:
-		reason = "no replica is left for the part"
+		reason = c.whyNoReplica(now, p)
 	case c.shouldSkip(now, r):
 		reason = "best replica would answer after the objective"
 	case !s.takeBudget(now, p, planned.Kind):
@@ -65,6 +65,9 @@
 	if _, a.cold = s.coldRate(&r.status, now); a.cold {
 		r.coldLimiter.Reserve()
 	}
+	if _, a.limited = r.limit.Rate(); a.limited {
+		r.limit.Reserve(now)
+	}
 	c.machine.Sent(now, planned.Part)
 	c.tried[planned.Part] = append(c.tried[planned.Part], r.status.ID)
 	c.inFlight = append(c.inFlight, a)
@@ -151,7 +154,7 @@
 		if of, usable := p.classOf(r); !usable || of != class {
 			continue
 		}
-		if !c.s.eligible(c, r) || !c.s.withinColdRate(now, r) || slices.Contains(c.tried[part], r.status.ID) {
+		if !c.s.eligible(c, r) || !c.s.withinColdRate(now, r) || !r.limit.Allows(now, c.route.Priority) || slices.Contains(c.tried[part], r.status.ID) {
 			continue
 		}
 		cands = append(cands, placement.Candidate{Replica: r.observed, Distance: r.distance, Draining: r.status.State == discovery.LastResort})
@@ -164,6 +167,17 @@
 	return replicas[i]
 }
 
+// whyNoReplica states why no replica can get an attempt of a part now. s.mu is held.
+func (c *call) whyNoReplica(now time.Time, p *pool) string {
+	wait, _ := c.s.limitWait(c, p, now)
+	if wait == 0 {
+		return "no replica is left for the part"
+	}
+	c.limitWait = max(c.limitWait, wait)
+	c.s.deniedByLimits(c, p, now)
+	return "the limits of the replicas that are left have no room"
+}
+
 // done is called when the attempt has ended. It records the observations and passes
 // the attempt to the call, which may have ended before.
 func (a *attempt) done() {
@@ -228,6 +242,9 @@
 	if a.cold {
 		a.replica.coldLimiter.Record(w.AssignedAt)
 	}
+	if a.limited {
+		a.replica.limit.Record(w.AssignedAt)
+	}
 	budget, upstream := a.call.s.poolOf(a.call.pools[a.part]).budget, a.replica.status.ID
 	if w.Err != nil && w.Err.Cause == verdict.ConnectionSilent {
 		budget.Abandon(now, upstream, part)
--- a/internal/direct/limits.go
+++ b/internal/direct/limits.go
@@ -12,6 +12,14 @@
 // after an outage of the store.
 const limitRetention = time.Minute
 
+const (
+	// endReportTime is how long the end of a limit is reported to other VMs.
+	endReportTime = 10 * time.Second
+	// minLimitWait is the least Retry-After of a request that the limits have no room
+	// for.
+	minLimitWait = 50 * time.Millisecond
+)
+
 // incarnation identifies one start of an upstream.
 type incarnation struct {
 	id    string
@@ -42,7 +50,112 @@
 	}
 	before, _ := a.replica.limit.Rate()
 	if a.replica.limit.Observe(now, w.AssignedAt, w.Reply.Notice, w.Reply.OK()) {
-		s.logLimit(a.replica.status.ID, a.replica.status.Pool, before, a.replica.limit, "answer")
+		s.limitChanged(now, a.replica, before, "answer")
+	}
+}
+
+// limitChanged applies a changed limit of a replica. s.mu is held.
+func (s *Service) limitChanged(now time.Time, r *replica, before float64, source string) {
+	s.limitsChangedAt = now
+	s.shareLimit(now, r)
+	if before == 0 {
+		// What was chosen before the limit was known would arrive in addition to the share.
+		go r.conns.EndWaiting("the replica names a limit")
+	}
+	s.logLimit(r.status.ID, r.status.Pool, before, r.limit, source)
+}
+
+// shareLimit computes this VM's share of a replica's limit. s.mu is held.
+func (s *Service) shareLimit(now time.Time, r *replica) {
+	rate, limited := r.limit.Rate()
+	if !limited {
+		return
+	}
+	region := s.opts.Regions[r.status.Zone]
+	vms := make([]upstreamlimit.VM, len(s.vms))
+	for i, vm := range s.vms {
+		vms[i] = upstreamlimit.VM{Name: vm.Name, Near: s.opts.Regions[vm.Zone] == region}
+	}
+	share := upstreamlimit.ShareOf(rate, r.status.ID, s.opts.Node, vms)
+	if !s.joined {
+		share = share.Joining()
+	}
+	r.limit.SetShare(now, share)
+}
+
+// joinFleet gives this VM its whole shares once the other VMs have counted it. s.mu is
+// held.
+func (s *Service) joinFleet(now time.Time) {
+	if s.joined || now.Sub(s.startedAt) < upstreamlimit.JoinTime {
+		return
+	}
+	s.joined = true
+	for _, r := range s.replicas {
+		s.shareLimit(now, r)
+	}
+}
+
+// limitWait returns how long a request of a priority must wait for the limits of the
+// replicas that may serve a part. It is zero if one of them can take it now; limited is
+// false if none may serve it at all. s.mu is held.
+func (s *Service) limitWait(c *call, p *pool, now time.Time) (wait time.Duration, limited bool) {
+	wait = -1
+	for _, r := range p.replicas {
+		if !p.mayServe(now, r) || !s.eligible(c, r) {
+			continue
+		}
+		if r.limit.Allows(now, c.route.Priority) {
+			return 0, true
+		}
+		d, ok := r.limit.Wait(now)
+		if !ok {
+			d = retryNoReplica // other VMs have the shares of this limit
+		}
+		if wait < 0 || d < wait {
+			wait = d
+		}
+	}
+	return max(wait, minLimitWait), wait >= 0
+}
+
+// deniedByLimits records that a request was turned away because the replicas' limits
+// leave no room, for those that may serve a part of it. s.mu is held.
+func (s *Service) deniedByLimits(c *call, p *pool, now time.Time) {
+	for _, r := range p.replicas {
+		if _, limited := r.limit.Rate(); limited && p.mayServe(now, r) && s.eligible(c, r) {
+			r.limit.Denied(now, c.route.Priority)
+		}
+	}
+}
+
+// LimitReports returns the limits of upstreams that this VM knows, for the other VMs,
+// and when one of them last changed.
+func (s *Service) LimitReports(now time.Time) (reports []upstreamlimit.Report, changedAt time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for key, l := range s.limits {
+		rate, limited := l.Rate()
+		if limited || !l.HeardAt().IsZero() && now.Sub(l.HeardAt()) < endReportTime {
+			reports = append(reports, upstreamlimit.Report{Upstream: key.id, Start: key.start, Rate: rate, HeardAt: l.HeardAt()})
+		}
+	}
+	return reports, s.limitsChangedAt
+}
+
+// MergeLimits applies what another VM has heard of the limits of upstreams. Upstreams
+// that this VM doesn't know are ignored; they are reported again.
+func (s *Service) MergeLimits(now time.Time, reports []upstreamlimit.Report) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, report := range reports {
+		r := s.replicas[report.Upstream]
+		if r == nil || r.status.Start != report.Start {
+			continue
+		}
+		before, _ := r.limit.Rate()
+		if r.limit.Merge(report.HeardAt, report.Rate) {
+			s.limitChanged(now, r, before, "vm")
+		}
 	}
 }
 
--- a/internal/direct/serve.go
+++ b/internal/direct/serve.go
@@ -57,6 +57,7 @@
 	failedReply *connpool.Reply // reply of a replica that failed to execute the request
 	sentByKind  [3]int          // attempts sent, by gather.Kind
 	span        trace.Span      // nil: not sampled
+	limitWait   time.Duration   // after which the replicas' limits have room for a part that was not sent
 	unanswered  bool            // the call has ended without an answer; guarded by s.mu
 }
 
@@ -67,6 +68,7 @@
 	kind    gather.Kind
 	replica *replica
 	cold    bool             // the replica was cold when it was chosen
+	limited bool             // it named a limit
 	move    *move            // of the pool when it was placed; nil: none
 	class   rollout.Class    // of the replica
 	wire    connpool.Attempt // the attempt as it is sent
@@ -121,10 +123,35 @@
 	c.typical = c.typicalLatency()
 	req.BodyOnly = route.Merge == tables.MergeTop
 	c.prepare()
-	if n, need := s.servableParts(c), c.minParts(); n < need {
-		return c, verdict.Newf(verdict.NotRun, verdict.NoReplica, "%d of %d parts have a replica, %d are needed", n, len(c.pools), need).WithRetryAfter(jitter(retryNoReplica))
+	return c, s.checkServable(c)
+}
+
+// checkServable returns a refusal if too few parts of a call can be sent now. s.mu is
+// held.
+func (s *Service) checkServable(c *call) *verdict.Error {
+	usable, sendable, now := 0, 0, time.Now()
+	wait := time.Duration(0)
+	for _, name := range c.pools {
+		d, ok := s.limitWait(c, s.poolOf(name), now)
+		switch {
+		case ok && d == 0:
+			usable, sendable = usable+1, sendable+1
+		case ok:
+			usable++
+			wait = max(wait, d)
+		}
+	}
+	need := c.minParts()
+	switch {
+	case usable < need:
+		return verdict.Newf(verdict.NotRun, verdict.NoReplica, "%d of %d parts have a replica, %d are needed", usable, len(c.pools), need).WithRetryAfter(jitter(retryNoReplica))
+	case sendable < need:
+		for _, name := range c.pools {
+			s.deniedByLimits(c, s.poolOf(name), now)
+		}
+		return verdict.Newf(verdict.NotRun, verdict.Overload, "the limits of the replicas have room for %d of %d parts, %d are needed", sendable, len(c.pools), need).WithRetryAfter(jitter(wait))
 	}
-	return c, nil
+	return nil
 }
 
 // poolsFor returns the pools that a request is sent to: all pools of the route for a
@@ -172,21 +199,6 @@
 	return max(1, int(math.Ceil(c.route.MinCoverage*float64(len(c.pools))-rounding)))
 }
 
-// servableParts counts the parts that have an eligible replica. s.mu is held.
-func (s *Service) servableParts(c *call) int {
-	n, now := 0, time.Now()
-	for _, name := range c.pools {
-		p := s.poolOf(name)
-		for _, r := range p.replicas {
-			if p.mayServe(now, r) && s.eligible(c, r) {
-				n++
-				break
-			}
-		}
-	}
-	return n
-}
-
 // prepare sets the times of the call and creates its state machine and buffers.
 func (c *call) prepare() {
 	n := len(c.pools)
@@ -341,6 +353,9 @@
 	if c.machine.Received() > 0 || len(c.inFlight) > 0 {
 		v.Outcome = verdict.MayHaveRun
 	}
+	if c.limitWait > 0 {
+		return v.WithRetryAfter(jitter(c.limitWait))
+	}
 	return v.WithRetryAfter(jitter(retryFailed))
 }
 
--- a/internal/direct/service.go
+++ b/internal/direct/service.go
@@ -63,7 +63,10 @@
 	backlog           retry.Backlog
 	routes            map[string]*routeStats
 	rng               *rand.Rand
-	fleet             []string  // serving VMs; empty: not known
+	vms               []VM      // that serve; empty: not known
+	fleet             []string  // their names
+	limitsChangedAt   time.Time // when a limit in limits last changed
+	joined            bool      // the other VMs count this one
 	versionsReported  time.Time // last report of the pools with several versions
 	unavailableSince  time.Time // start of the store's outage; zero: available
 
@@ -175,6 +178,7 @@
 func (s *Service) sweep(now time.Time) {
 	s.mu.Lock()
 	s.observeRunning(now)
+	s.joinFleet(now)
 	s.retired = slices.DeleteFunc(s.retired, (*connpool.Pool).Ended)
 	pools := slices.Clone(s.retired)
 	for _, r := range s.replicas {
--- a/internal/direct/upstreams.go
+++ b/internal/direct/upstreams.go
@@ -239,6 +239,7 @@
 		}
 		r.coldLimiter.Start(s.startedAt)
 		s.replicas[st.ID] = r
+		defer s.shareLimit(now, r)
 	}
 	if r.status.State != st.State {
 		s.log.Info("upstreams").Str("upstream", st.ID).Str("pool", st.Pool).Uint8("state", uint8(st.State)).Msg("upstream state changed")
@@ -276,17 +277,28 @@
 	return st
 }
 
-// SetFleet sets the names of all serving VMs, including this one.
-func (s *Service) SetFleet(nodes []string) {
+// VM is a VM that serves.
+type VM struct {
+	Name, Zone string
+}
+
+// SetFleet sets all serving VMs, including this one.
+func (s *Service) SetFleet(vms []VM) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	before := len(s.fleet)
-	s.fleet = nodes
-	if len(nodes) == before {
+	s.vms, s.fleet = vms, make([]string, len(vms))
+	for i, vm := range vms {
+		s.fleet[i] = vm.Name
+	}
+	for _, r := range s.replicas {
+		s.shareLimit(time.Now(), r)
+	}
+	if len(vms) == before {
 		return
 	}
-	s.metrics.set("fleet_vms", int64(len(nodes)))
-	s.log.Info("fleet").Int("vms", len(nodes)).Int("before", before).Float64("extra_slack", s.extraLimits().Steady.Slack).Msg("number of VMs that share the fleet-wide limits changed")
+	s.metrics.set("fleet_vms", int64(len(vms)))
+	s.log.Info("fleet").Int("vms", len(vms)).Int("before", before).Float64("extra_slack", s.extraLimits().Steady.Slack).Msg("number of VMs that share the fleet-wide limits changed")
 	for _, r := range s.replicas {
 		r.conns.SetLimit(s.connectionLimit(r.status.Pool, r.distance))
 	}
--- a/internal/direct/versions.go
+++ b/internal/direct/versions.go
@@ -299,6 +299,9 @@
 		if st.Version != o.Version || st.State != discovery.Active || s.zonesOutOfService[st.Zone] || now.Before(st.ColdEnd) {
 			continue
 		}
+		if _, limited := r.limit.Rate(); limited {
+			continue // it can't take the pool's traffic
+		}
 		c.NewReplicas++
 		c.NewSlots += st.Slots
 	}
--- a/internal/storerelay/serve.go
+++ b/internal/storerelay/serve.go
@@ -18,6 +18,9 @@
 	if r := env.GetRolloutReport(); r != nil && s.onRolloutReport != nil {
 		return &swpb.Envelope{Body: &swpb.Envelope_RolloutGuidance{RolloutGuidance: s.onRolloutReport(r)}}, nil
 	}
+	if x := env.GetLimitExchange(); x != nil && s.onLimits != nil {
+		return &swpb.Envelope{Body: &swpb.Envelope_LimitExchange{LimitExchange: s.onLimits(x)}}, nil
+	}
 	req := env.GetStoreRequest()
 	s.mu.Lock()
 	m := s.mirrors[req.GetPrefix()]
@@ -46,6 +49,10 @@
 	s.onRolloutReport = fn
 }
 
+// OnLimits sets the function that answers the limits of upstreams that other VMs report.
+// It must be called before Start.
+func (s *Service) OnLimits(fn func(*swpb.LimitExchange) *swpb.LimitExchange) { s.onLimits = fn }
+
 // Call sends a request to another VM, at its address.
 func (s *Service) Call(ctx context.Context, addr string, env *swpb.Envelope) (*swpb.Envelope, error) {
 	return s.pool.Get(addr).Call(ctx, env)
--- a/internal/storerelay/service.go
+++ b/internal/storerelay/service.go
@@ -93,6 +93,8 @@
 	onNodes func(nodes []vmregistry.Node, all bool)
 	// onRolloutReport answers the reports of other VMs on rollouts.
 	onRolloutReport func(*swpb.RolloutReport) *swpb.RolloutGuidance
+	// onLimits answers the limits of upstreams that other VMs report.
+	onLimits func(*swpb.LimitExchange) *swpb.LimitExchange
 
 	mu          sync.Mutex // guards the fields below
 	mirrors     map[string]*Mirror
