--- a/internal/decide/upstreamlimit/share.go
+++ b/internal/decide/upstreamlimit/share.go
@@ -1,6 +1,7 @@
 package upstreamlimit
 
 import (
+	"slices"
 	"sort"
 
 	"github.com/sapphirewall/sapphirewall/internal/decide/fleetlimit"
@@ -47,25 +48,32 @@
 	return Share{Rate: s.Rate * joinShare, Burst: min(s.Burst, max(1, s.Burst*joinShare)), ProbeRate: s.ProbeRate * joinShare}
 }
 
-// ShareOf returns the share of the VM self in the limit rate of an upstream. The VMs are
-// ranked, near ones first, and share the limit by their weights. If some would get less
-// than one request at once, the last ones in the ranking get nothing, so that neither
-// the rates nor the bursts of all shares add up to more than the limit allows.
-func ShareOf(rate float64, upstream, self string, vms []VM) Share {
-	n := float64(max(len(vms), 1))
-	if len(vms) == 0 {
+// Ranking is the order in which VMs share the limits of an upstream, near ones first.
+type Ranking struct {
+	vms  []VM
+	self int // position of this VM; -1: it isn't among them
+}
+
+// Rank ranks the VMs for an upstream. self is the name of this VM.
+func Rank(upstream, self string, vms []VM) *Ranking {
+	ranked := rank(upstream, vms)
+	return &Ranking{vms: ranked, self: slices.IndexFunc(ranked, func(vm VM) bool { return vm.Name == self })}
+}
+
+// ShareOf returns this VM's share of a limit. The VMs share it by their weights. If some
+// would get less than one request at once, the last ones in the ranking get nothing, so
+// that neither the rates nor the bursts of all shares add up to more than the limit
+// allows.
+func (r *Ranking) ShareOf(rate float64) Share {
+	if len(r.vms) == 0 {
 		return Share{Rate: rate / fleetlimit.AssumedVMs, Burst: 1}
 	}
-	probe := Share{ProbeRate: max(probeShare*rate/n, minProbeRate)}
-	ranked := rank(upstream, vms)
-	senders, total := countSenders(rate+burstSlack, ranked)
-	for _, vm := range ranked[:senders] {
-		if vm.Name == self {
-			part := vm.weight() / total
-			return Share{Rate: rate * part, Burst: max(1, (rate+burstSlack)*part)}
-		}
+	senders, total := countSenders(rate+burstSlack, r.vms)
+	if r.self < 0 || r.self >= senders {
+		return Share{ProbeRate: max(probeShare*rate/float64(len(r.vms)), minProbeRate)}
 	}
-	return probe
+	part := r.vms[r.self].weight() / total
+	return Share{Rate: rate * part, Burst: max(1, (rate+burstSlack)*part)}
 }
 
 func (v VM) weight() float64 {
--- a/internal/decide/upstreamlimit/share_test.go
+++ b/internal/decide/upstreamlimit/share_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"testing"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -23,7 +24,7 @@
 	const window, factor, slack = 4, 1.5, 5 // the platform's bound on arrivals
 	var rates, bursts float64
 	for _, vm := range fleet(vms) {
-		s := upstreamlimit.ShareOf(rate, "u", vm.Name, fleet(vms))
+		s := upstreamlimit.Rank("u", vm.Name, fleet(vms)).ShareOf(rate)
 		rates += s.Rate
 		bursts += s.Burst
 	}
@@ -35,14 +36,14 @@
 )
 
 var _ = It("gives the VMs in the upstream's region most of a limit, and all of a small one", func() {
-	near := upstreamlimit.ShareOf(30, "u", "vm-0", fleet(9))
-	far := upstreamlimit.ShareOf(30, "u", "vm-1", fleet(9))
+	near := upstreamlimit.Rank("u", "vm-0", fleet(9)).ShareOf(30)
+	far := upstreamlimit.Rank("u", "vm-1", fleet(9)).ShareOf(30)
 	Expect(near.Rate).To(BeNumerically(">", 3*far.Rate))
-	Expect(upstreamlimit.ShareOf(1, "u", "vm-1", fleet(9)).Rate).To(BeZero())
+	Expect(upstreamlimit.Rank("u", "vm-1", fleet(9)).ShareOf(1).Rate).To(BeZero())
 })
 
 var _ = It("assumes many VMs while none is known", func() {
-	s := upstreamlimit.ShareOf(10, "u", "vm-0", nil)
+	s := upstreamlimit.Rank("u", "vm-0", nil).ShareOf(10)
 	Expect(s.Rate).To(BeNumerically("<=", 0.1))
 	Expect(s.Burst).To(Equal(1.0))
 })
@@ -126,3 +127,14 @@
 	}
 	Expect(n).To(BeNumerically("~", 10, 2))
 })
+
+func BenchmarkShareOf(b *testing.B) {
+	for _, vms := range []int{9, 88, 2400} {
+		r := upstreamlimit.Rank("u", "vm-0", fleet(vms))
+		b.Run(fmt.Sprint(vms), func(b *testing.B) {
+			for b.Loop() {
+				r.ShareOf(30)
+			}
+		})
+	}
+}
--- a/internal/direct/limits.go
+++ b/internal/direct/limits.go
@@ -71,18 +71,26 @@
 	if !limited {
 		return
 	}
-	region := s.opts.Regions[r.status.Zone]
-	vms := make([]upstreamlimit.VM, len(s.vms))
-	for i, vm := range s.vms {
-		vms[i] = upstreamlimit.VM{Name: vm.Name, Near: s.opts.Regions[vm.Zone] == region}
+	if r.ranking == nil {
+		r.ranking = s.rankVMs(r)
 	}
-	share := upstreamlimit.ShareOf(rate, r.status.ID, s.opts.Node, vms)
+	share := r.ranking.ShareOf(rate)
 	if !s.joined {
 		share = share.Joining()
 	}
 	r.limit.SetShare(now, share)
 }
 
+// rankVMs ranks the VMs for the limits of a replica. s.mu is held.
+func (s *Service) rankVMs(r *replica) *upstreamlimit.Ranking {
+	region := s.opts.Regions[r.status.Zone]
+	vms := make([]upstreamlimit.VM, len(s.vms))
+	for i, vm := range s.vms {
+		vms[i] = upstreamlimit.VM{Name: vm.Name, Near: s.opts.Regions[vm.Zone] == region}
+	}
+	return upstreamlimit.Rank(r.status.ID, s.opts.Node, vms)
+}
+
 // joinFleet gives this VM its whole shares once the other VMs have counted it. s.mu is
 // held.
 func (s *Service) joinFleet(now time.Time) {
--- a/internal/direct/upstreams.go
+++ b/internal/direct/upstreams.go
@@ -24,6 +24,7 @@
 	distance    placement.Distance
 	coldLimiter fleetlimit.RateLimiter // of requests to it while it is cold
 	limit       *upstreamlimit.Limit   // that it names itself
+	ranking     *upstreamlimit.Ranking // of the VMs that share limit; nil: not computed yet
 	inFlight    int                    // attempts that have not ended
 }
 
@@ -292,6 +293,7 @@
 		s.fleet[i] = vm.Name
 	}
 	for _, r := range s.replicas {
+		r.ranking = nil
 		s.shareLimit(time.Now(), r)
 	}
 	if len(vms) == before {
--- a/test/model/limits_test.go
+++ b/test/model/limits_test.go
@@ -31,15 +31,15 @@
 type limitVM struct {
 	upstreamlimit.VM
 	limit    *upstreamlimit.Limit
-	known    []upstreamlimit.VM // the VMs that it counts
-	told     time.Time          // first answer with a limit; zero: none
-	excused  time.Time          // until when its requests don't count
-	frozen   time.Time          // until when it does nothing
-	cut      bool               // from the other VMs
-	exchange time.Time          // of its last exchange
-	changed  time.Time          // when its limit last changed
-	started  time.Time          // its process
-	learnsAt time.Time          // when it counts the VMs again; zero: never
+	ranking  *upstreamlimit.Ranking // of the VMs that it counts
+	told     time.Time              // first answer with a limit; zero: none
+	excused  time.Time              // until when its requests don't count
+	frozen   time.Time              // until when it does nothing
+	cut      bool                   // from the other VMs
+	exchange time.Time              // of its last exchange
+	changed  time.Time              // when its limit last changed
+	started  time.Time              // its process
+	learnsAt time.Time              // when it counts the VMs again; zero: never
 }
 
 // limitEvent is an arrival at the upstream or its answer.
@@ -82,10 +82,11 @@
 
 // learnVMs lets a VM count all VMs.
 func (w *limitWorld) learnVMs(v *limitVM) {
-	v.known = nil
+	var known []upstreamlimit.VM
 	for _, o := range w.vms {
-		v.known = append(v.known, o.VM)
+		known = append(known, o.VM)
 	}
+	v.ranking = upstreamlimit.Rank("upstream", v.Name, known)
 	w.share(v)
 }
 
@@ -94,7 +95,7 @@
 	if !limited {
 		return
 	}
-	share := upstreamlimit.ShareOf(rate, "upstream", v.Name, v.known)
+	share := v.ranking.ShareOf(rate)
 	if w.now.Sub(v.started) < upstreamlimit.JoinTime {
 		share = share.Joining()
 	}
