--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -62,6 +62,7 @@
 	a.startSpan(planned.Kind)
 	a.countPlaced(p, class)
 	r.observed.Sent(now)
+	r.path.Sent(now, c.typical)
 	if _, a.cold = s.coldRate(&r.status, now); a.cold {
 		r.coldLimiter.Reserve()
 	}
@@ -226,6 +227,7 @@
 		go a.replica.conns.DropIdle(w.SentAt)
 	}
 	a.settle(now)
+	a.observePath(now)
 	s.observeNotice(now, a)
 	if w.Reply != nil && w.Reply.HasLoad {
 		l := w.Reply.Load
--- a/internal/direct/service.go
+++ b/internal/direct/service.go
@@ -12,6 +12,7 @@
 
 	"github.com/sapphirewall/sapphirewall/internal/connpool"
 	"github.com/sapphirewall/sapphirewall/internal/decide/discovery"
+	"github.com/sapphirewall/sapphirewall/internal/decide/reach"
 	"github.com/sapphirewall/sapphirewall/internal/decide/retry"
 	"github.com/sapphirewall/sapphirewall/internal/decide/upstreamlimit"
 	"github.com/sapphirewall/sapphirewall/internal/decide/zonehold"
@@ -63,8 +64,10 @@
 	backlog           retry.Backlog
 	routes            map[string]*routeStats
 	rng               *rand.Rand
-	vms               []VM      // that serve; empty: not known
-	fleet             []string  // their names
+	vms               []VM     // that serve; empty: not known
+	fleet             []string // their names
+	reach             reach.Machine
+	reachJudgedAt     time.Time
 	limitsChangedAt   time.Time // when a limit in limits last changed
 	joined            bool      // the other VMs count this one
 	versionsReported  time.Time // last report of the pools with several versions
@@ -171,6 +174,7 @@
 func (s *Service) observeRunning(now time.Time) {
 	if d := s.backlog.Run(now); d > 0 {
 		s.metrics.add("pauses", 1)
+		s.reach.Paused(now)
 		s.log.Warn("paused").Dur("for", d).Msg("process was paused or the wall clock stepped; requests that waited meanwhile count as sent when that began")
 	}
 }
@@ -179,6 +183,7 @@
 	s.mu.Lock()
 	s.observeRunning(now)
 	s.joinFleet(now)
+	s.judgeReach(now)
 	s.retired = slices.DeleteFunc(s.retired, (*connpool.Pool).Ended)
 	pools := slices.Clone(s.retired)
 	for _, r := range s.replicas {
--- a/internal/direct/upstreams.go
+++ b/internal/direct/upstreams.go
@@ -9,6 +9,7 @@
 	"github.com/sapphirewall/sapphirewall/internal/decide/fleetlimit"
 	"github.com/sapphirewall/sapphirewall/internal/decide/placement"
 	"github.com/sapphirewall/sapphirewall/internal/decide/quantile"
+	"github.com/sapphirewall/sapphirewall/internal/decide/reach"
 	"github.com/sapphirewall/sapphirewall/internal/decide/retry"
 	"github.com/sapphirewall/sapphirewall/internal/decide/rollout"
 	"github.com/sapphirewall/sapphirewall/internal/decide/upstreamlimit"
@@ -23,6 +24,7 @@
 	conns       *connpool.Pool
 	distance    placement.Distance
 	coldLimiter fleetlimit.RateLimiter // of requests to it while it is cold
+	path        *reach.Path            // what this VM has seen of the way to it
 	limit       *upstreamlimit.Limit   // that it names itself
 	ranking     *upstreamlimit.Ranking // of the VMs that share limit; nil: not computed yet
 	inFlight    int                    // attempts that have not ended
@@ -236,6 +238,7 @@
 			observed: placement.NewReplica(st.Slots),
 			conns:    connpool.NewPool(st.ID, st.Addr, s.connectionLimit(st.Pool, s.distance(st.Zone)), s.opts.Codec, s.opts.Dial, s.metrics.count),
 			distance: s.distance(st.Zone),
+			path:     &reach.Path{},
 			limit:    s.limitOf(&st),
 		}
 		r.coldLimiter.Start(s.startedAt)
