Have VMs that are cut off from replicas serve their callers through others

Cause: a VM took its own loss of all replicas for failures of each of them. It tried one after the other until its budget for extra attempts was used up, and its callers, whose connections stay with it, had no other way.

Evidence: the lines of kind reach.

It hands over once, to VMs that don't hand on; answer, receipts, coverage and verdict come back unchanged, the deadline that goes on is what is left, and a caller that leaves ends the work there. A request that was lost together with the other VM may have run and is not sent again. What waits for replicas when the cut is found goes over too, with the attempts that can't have arrived given back. Others take a bounded number, less urgent ones up to a half. If no VM reaches more replicas, they are down, and the VM goes on by itself. Meanwhile it opens a connection to a lost replica every 250 ms; two that open within a second end the cut, which holds longer each time it comes back soon.

Ruled out: refusing at once with Retry-After, or closing the port (a failed try for each caller); handing over the parts of a query one by one (25 calls for one, and each VM would have to know of the attempts of the other); a relay for each zone (a zone may be cut off as a whole).

--- a/internal/callerhttp/server.go
+++ b/internal/callerhttp/server.go
@@ -122,6 +122,9 @@
 // Drain makes every response end its connection with Connection: close.
 func (s *Server) Drain() { s.draining.Store(true) }
 
+// Draining reports whether Drain has been called.
+func (s *Server) Draining() bool { return s.draining.Load() }
+
 // Shutdown stops accepting, closes idle connections, and waits until the other
 // connections have been answered or ctx ends. It waits for open connections
 // rather than for active requests, since a request that has just been read is not
--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -276,6 +276,30 @@
 	}
 }
 
+// Probe opens a connection, to see whether the replica can be reached, and keeps it for
+// later attempts.
+func (p *Pool) Probe(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	nc, err := p.dial(ctx, p.addr)
+	if err != nil {
+		return err
+	}
+	p.mu.Lock()
+	if p.closed || len(p.conns)+p.dialing >= p.limit {
+		p.mu.Unlock()
+		_ = nc.Close()
+		return nil
+	}
+	c := newConn(p, nc)
+	p.conns[c] = struct{}{}
+	c.release(time.Now())
+	p.mu.Unlock()
+	p.count("connections_opened")
+	go c.read()
+	return nil
+}
+
 // nextWaiting removes and returns the first waiting attempt, or nil. The attempt
 // is marked as ended; assigning it to a connection has to reset the mark. p.mu is
 // held.
--- a/internal/decide/reach/machine.go
+++ b/internal/decide/reach/machine.go
@@ -10,9 +10,10 @@
 	quietPool = time.Second
 	// minTroubled is the number of replicas that must fail, if there are as many.
 	minTroubled = 3
-	// minHeard is the number of replicas that must be heard, if there are as many,
-	// before a cut from all replicas counts as ended.
-	minHeard = 2
+	// minHeard is the number of replicas that must be heard within heardTime, if there
+	// are as many, before a cut from all replicas counts as ended.
+	minHeard  = 2
+	heardTime = time.Second
 	// settleTime is the time after a pause of the process in which nothing is judged:
 	// answers that came meanwhile have not been read.
 	settleTime = 500 * time.Millisecond
@@ -38,10 +39,10 @@
 }
 
 // Any reports whether there is any cut.
-func (c *Cuts) Any() bool { return c.All || len(c.Pools) > 0 }
+func (c Cuts) Any() bool { return c.All || len(c.Pools) > 0 }
 
 // Has reports whether the VM seems to be cut off from a pool.
-func (c *Cuts) Has(pool string) bool { return c.All || c.Pools[pool] }
+func (c Cuts) Has(pool string) bool { return c.All || c.Pools[pool] }
 
 // Machine judges the paths to all replicas. It is not safe for concurrent use.
 type Machine struct {
@@ -104,7 +105,7 @@
 func (m *Machine) judgeEnd(now time.Time, replicas []Replica) bool {
 	heard := 0
 	for _, r := range replicas {
-		if r.Path.heardAt.After(m.beganAt) {
+		if r.Path.heardAt.After(m.beganAt) && now.Sub(r.Path.heardAt) <= heardTime {
 			heard++
 		}
 	}
--- /dev/null
+++ b/internal/direct/handover.go
@@ -0,0 +1,132 @@
+package direct
+
+import (
+	"context"
+	"time"
+
+	"github.com/sapphirewall/sapphirewall/internal/tables"
+	"github.com/sapphirewall/sapphirewall/internal/verdict"
+)
+
+// handOver returns how another VM may serve the call, or nil if none may. Attempts that
+// were sent after the last sign of any replica have not reached one; the others may have
+// been executed.
+func (c *call) handOver() *HandOver {
+	c.s.mu.Lock()
+	cuts := c.s.reach.Cuts()
+	c.s.mu.Unlock()
+	if !cuts.All || !c.route.Idempotent || c.machine.Received() >= c.minParts() {
+		return nil
+	}
+	left := c.maxAttempts
+	for _, sent := range c.sentAt {
+		arrived := 0
+		for _, at := range sent {
+			if !at.After(cuts.Since) {
+				arrived++
+			}
+		}
+		left = min(left, c.maxAttempts-arrived)
+	}
+	if left < 1 {
+		return nil
+	}
+	return &HandOver{MaxAttempts: left, Refusal: c.refusal(verdict.NoReplica, "the VM is cut off from the replicas")}
+}
+
+// Need is what a request needs of the replicas.
+type Need struct {
+	Pools    []string
+	MinParts int           // the fewest pools that make an answer
+	Deadline time.Duration // of the route
+}
+
+// Missing returns how many of the pools are cut off.
+func (n *Need) Missing(isCut func(pool string) bool) int {
+	missing := 0
+	for _, pool := range n.Pools {
+		if isCut(pool) {
+			missing++
+		}
+	}
+	return missing
+}
+
+// ServableWithout reports whether a request can be served without the pools that are
+// cut off.
+func (n *Need) ServableWithout(isCut func(pool string) bool) bool {
+	return len(n.Pools)-n.Missing(isCut) >= n.MinParts
+}
+
+// NeedOf returns what a request needs; ok is false if it has no route. A request that goes
+// to one of several pools, by their weights, needs all of them.
+func (s *Service) NeedOf(req *Request) (need Need, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.inForce == nil {
+		return Need{}, false
+	}
+	route := s.inForce.index.Find(req.Host, req.Path)
+	if route == nil {
+		return Need{}, false
+	}
+	need = Need{Pools: route.Pools, MinParts: len(route.Pools), Deadline: route.Deadline}
+	if route.Kind == tables.Query {
+		need.MinParts = minParts(route, len(route.Pools))
+	}
+	return need, true
+}
+
+// Priority returns the priority of a request's route, and the least priority value of
+// all routes, which is the most urgent.
+func (s *Service) Priority(req *Request) (priority, most int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.inForce == nil {
+		return 0, 0
+	}
+	route := s.inForce.index.Find(req.Host, req.Path)
+	if route == nil {
+		return 0, 0
+	}
+	most = route.Priority
+	for _, r := range s.inForce.tables.Routes {
+		most = min(most, r.Priority)
+	}
+	return route.Priority, most
+}
+
+// ProbeCut opens a connection to one of the replicas that the VM seems to be cut off
+// from, chosen at random. It returns when that has succeeded or failed.
+func (s *Service) ProbeCut(ctx context.Context) {
+	r := s.randomCutReplica()
+	if r == nil {
+		return
+	}
+	err := r.conns.Probe(ctx)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.metrics.add("reach_probes", 1)
+	if err != nil {
+		s.log.Info("reach").Err(err).Str("upstream", r.status.ID).Msg("replica still can't be reached")
+		return
+	}
+	r.path.Heard(time.Now())
+	s.log.Info("reach").Str("upstream", r.status.ID).Str("pool", r.status.Pool).Msg("replica can be reached again")
+}
+
+func (s *Service) randomCutReplica() *replica {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	cuts := s.reach.Cuts()
+	var cut []*replica
+	for _, r := range s.replicas {
+		if cuts.Has(r.status.Pool) && !s.zonesOutOfService[r.status.Zone] {
+			cut = append(cut, r)
+		}
+	}
+	if len(cut) == 0 {
+		return nil
+	}
+	return cut[s.rng.IntN(len(cut))]
+}
--- a/internal/direct/log.go
+++ b/internal/direct/log.go
@@ -90,8 +90,11 @@
 	took := time.Since(c.req.Arrived)
 	s.metrics.observe("request", took)
 	outcome, kind := "answered", "answered"
-	if a.Refusal != nil {
+	switch {
+	case a.Refusal != nil:
 		outcome, kind = string(a.Refusal.Cause), "failed"
+	case a.HandOver != nil:
+		outcome, kind = "handed-over", "handover"
 	}
 	s.metrics.add("request_"+outcome, 1)
 	e := s.log.Info(kind).Str("id", c.req.ID).Str("route", c.route.Name).Str("outcome", outcome).Dur("took", took).
--- a/internal/direct/request.go
+++ b/internal/direct/request.go
@@ -15,14 +15,28 @@
 	Arrived      time.Time
 	Disconnected <-chan struct{} // closed when the caller has disconnected
 	Terminating  <-chan struct{} // closed when the process has to end
+	// Leave is closed when the VM is cut off from the replicas and another one can serve
+	// the request; nil: never.
+	Leave <-chan struct{}
+	// MaxAttempts bounds the replicas that may execute a part, in addition to the route;
+	// 0: the route alone does.
+	MaxAttempts int
 }
 
-// Answer is what the caller gets. Exactly one of Reply, Gathered and Refusal is
-// set.
+// Answer is what the caller gets. Exactly one of Reply, Gathered, Refusal and HandOver
+// is set.
 type Answer struct {
 	Reply    *connpool.Reply // a replica's reply, to be passed on unchanged
 	Gathered *Gathered
 	Refusal  *verdict.Error
+	HandOver *HandOver
+}
+
+// HandOver states that another VM should serve the request, since this one is cut off
+// from the replicas.
+type HandOver struct {
+	MaxAttempts int            // replicas that may still execute a part
+	Refusal     *verdict.Error // for the caller, if no other VM can
 }
 
 // Gathered is the answer to a query over many shards.
--- a/internal/direct/serve.go
+++ b/internal/direct/serve.go
@@ -51,6 +51,8 @@
 	results     chan *attempt
 	replies     []*connpool.Reply // by part; nil: none yet
 	tried       [][]string        // replicas that got an attempt, by part
+	sentAt      [][]time.Time     // of the attempts, by part
+	maxAttempts int               // replicas that may execute a part
 	budgetParts []retry.Part      // by part; guarded by s.mu
 	inFlight    []*attempt
 	worst       *verdict.Error  // worst verdict of the failed attempts
@@ -195,8 +197,13 @@
 	if c.route.Kind != tables.Query {
 		return 1
 	}
+	return minParts(c.route, len(c.pools))
+}
+
+// minParts is the fewest of a query's parts that make an answer.
+func minParts(route *tables.Route, parts int) int {
 	const rounding = 1e-9 // error of a share times a count
-	return max(1, int(math.Ceil(c.route.MinCoverage*float64(len(c.pools))-rounding)))
+	return max(1, int(math.Ceil(route.MinCoverage*float64(parts)-rounding)))
 }
 
 // prepare sets the times of the call and creates its state machine and buffers.
@@ -206,6 +213,10 @@
 	if attempts <= 0 {
 		attempts = 2
 	}
+	if c.req.MaxAttempts > 0 {
+		attempts = min(attempts, c.req.MaxAttempts)
+	}
+	c.maxAttempts = attempts
 	objective := c.objective()
 	c.hedgeAfter = time.Duration(maxHedgeDelayShare * float64(objective))
 	if tail, ok := c.stats.tail.Value(); ok {
@@ -219,6 +230,7 @@
 	c.results = make(chan *attempt, n*(attempts+maxUnexecuted))
 	c.replies = make([]*connpool.Reply, n)
 	c.tried = make([][]string, n)
+	c.sentAt = make([][]time.Time, n)
 	c.budgetParts = make([]retry.Part, n)
 }
 
@@ -226,6 +238,7 @@
 func (c *call) run() *Answer {
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
+	leave := c.req.Leave
 	for {
 		outcome, next := c.step(time.Now())
 		if outcome != gather.Pending {
@@ -238,6 +251,12 @@
 			c.handleResult(a)
 			c.handlePending()
 		case <-timer.C:
+		case <-leave:
+			leave = nil
+			if h := c.handOver(); h != nil {
+				c.cancelAttempts(0)
+				return &Answer{HandOver: h}
+			}
 		case <-c.req.Disconnected:
 			c.cancelAttempts(disconnectGrace)
 			return &Answer{Refusal: verdict.New(verdict.MayHaveRun, verdict.Cancelled, "the caller has left")}
@@ -318,7 +337,7 @@
 // recordEnd shares what is suspected of a request that ends without an answer. Its
 // attempts in flight may still crash replicas.
 func (c *call) recordEnd(a *Answer) {
-	if a.Gathered != nil || a.Reply != nil && a.Reply.OK() {
+	if a.HandOver != nil || a.Gathered != nil || a.Reply != nil && a.Reply.OK() {
 		return
 	}
 	c.s.mu.Lock()
--- /dev/null
+++ b/internal/handover/serve.go
@@ -0,0 +1,154 @@
+package handover
+
+import (
+	"context"
+	"time"
+
+	"github.com/sapphirewall/sapphirewall/internal/decide/helpers"
+	"github.com/sapphirewall/sapphirewall/internal/decide/reach"
+	"github.com/sapphirewall/sapphirewall/internal/direct"
+	"github.com/sapphirewall/sapphirewall/internal/verdict"
+	"github.com/sapphirewall/sapphirewall/proto/swpb"
+)
+
+const (
+	// maxHelpers is the number of VMs that a request is handed over to, one after the
+	// other, while it is known not to have run.
+	maxHelpers = 3
+	// budgetMargin is how long before the end of its time a caller gets an answer.
+	budgetMargin = 25 * time.Millisecond
+)
+
+// Serve answers a caller's request.
+func (s *Service) Serve(req *direct.Request) *direct.Answer {
+	if a, ok := s.viaOther(req, 0); ok {
+		return a
+	}
+	s.mu.Lock()
+	req.Leave = s.leave
+	s.mu.Unlock()
+	a := s.tier.Serve(req)
+	if a.HandOver == nil {
+		return a
+	}
+	if handed, ok := s.viaOther(req, a.HandOver.MaxAttempts); ok {
+		return handed
+	}
+	return &direct.Answer{Refusal: a.HandOver.Refusal}
+}
+
+// viaOther has another VM serve a request that can't be served whole here. ok is false if
+// no other VM can do better, or none takes it and it can be served in part here.
+func (s *Service) viaOther(req *direct.Request, maxAttempts int) (a *direct.Answer, ok bool) {
+	cuts := s.cut.Load()
+	if cuts == nil {
+		return nil, false
+	}
+	need, known := s.tier.NeedOf(req)
+	if !known || need.Missing(cuts.Has) == 0 {
+		return nil, false
+	}
+	var tried []string
+	for len(tried) < maxHelpers {
+		c, found := s.choose(&need, cuts, tried)
+		if !found {
+			break
+		}
+		tried = append(tried, c.Name)
+		a = s.handOver(req, c, s.deadline(req, &need), maxAttempts)
+		if !s.tryAnother(req, a) {
+			return a, true
+		}
+	}
+	return a, a != nil && !need.ServableWithout(cuts.Has)
+}
+
+// choose chooses a VM that reaches more of the pools that a request needs than this one.
+func (s *Service) choose(need *direct.Need, cuts *reach.Cuts, tried []string) (helpers.Choice, bool) {
+	here := need.Missing(cuts.Has)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.helpers.Choose(time.Now(), func(lost map[string]bool) bool {
+		isLost := func(pool string) bool { return lost[pool] }
+		return need.Missing(isLost) < here && need.ServableWithout(isLost)
+	}, tried)
+}
+
+// tryAnother reports whether a request should be handed over to another VM: it has not
+// run, for a reason that doesn't hold for all VMs, and the caller still waits.
+func (s *Service) tryAnother(req *direct.Request, a *direct.Answer) bool {
+	v := a.Refusal
+	if v == nil || v.Outcome != verdict.NotRun {
+		return false
+	}
+	select {
+	case <-req.Disconnected:
+		return false
+	case <-req.Terminating:
+		return false
+	default:
+	}
+	switch v.Cause {
+	case verdict.PeerLost, verdict.ShuttingDown, verdict.Overload, verdict.NoReplica, verdict.NotReady:
+		return true
+	}
+	return false
+}
+
+// handOver hands a request over to one VM and returns its answer.
+func (s *Service) handOver(req *direct.Request, c helpers.Choice, deadline time.Time, maxAttempts int) *direct.Answer {
+	begin := time.Now()
+	ctx, cancel := contextOf(req, deadline)
+	defer cancel()
+	msg := toProto(req, begin.Sub(req.Arrived)+c.RoundTrip, maxAttempts)
+	env, err := s.pool.Get(c.Addr).Call(ctx, &swpb.Envelope{Body: &swpb.Envelope_HandoverRequest{HandoverRequest: msg}})
+	var a *direct.Answer
+	if err != nil {
+		a = &direct.Answer{Refusal: verdict.Of(err).WithRetryAfter(helpers.AskInterval)}
+	} else {
+		a = answerFromProto(env.GetHandoverReply())
+	}
+	s.mu.Lock()
+	s.helpers.Done(time.Now(), c.Name, a.Refusal != nil && a.Refusal.Cause == verdict.PeerLost)
+	s.mu.Unlock()
+	s.logHandover(req, c, a, time.Since(begin))
+	return a
+}
+
+// deadline is when the caller has to have an answer.
+func (s *Service) deadline(req *direct.Request, need *direct.Need) time.Time {
+	limit := need.Deadline
+	if req.Budget > 0 {
+		limit = min(limit, req.Budget-budgetMargin)
+	}
+	return req.Arrived.Add(limit)
+}
+
+// contextOf returns a context that ends at the deadline, or when the caller has left or
+// the process has to end.
+func contextOf(req *direct.Request, deadline time.Time) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	go func() {
+		select {
+		case <-req.Disconnected:
+			cancel()
+		case <-req.Terminating:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	return ctx, cancel
+}
+
+func (s *Service) logHandover(req *direct.Request, c helpers.Choice, a *direct.Answer, took time.Duration) {
+	outcome := "answered"
+	if a.Refusal != nil {
+		outcome = string(a.Refusal.Cause)
+	}
+	s.metrics.Add("sent_"+outcome, 1)
+	e := s.log.Info("handover").Str("id", req.ID).Str("vm", c.Name).Str("outcome", outcome).Dur("took", took).Dur("round_trip", c.RoundTrip)
+	if a.Refusal != nil {
+		e = e.Str("verdict", a.Refusal.Outcome.String()).Str("detail", a.Refusal.Detail)
+	}
+	e.Msg("request handed over to another VM")
+}
--- /dev/null
+++ b/internal/handover/wire.go
@@ -0,0 +1,75 @@
+package handover
+
+import (
+	"time"
+
+	"github.com/sapphirewall/sapphirewall/internal/connpool"
+	"github.com/sapphirewall/sapphirewall/internal/direct"
+	"github.com/sapphirewall/sapphirewall/internal/verdict"
+	"github.com/sapphirewall/sapphirewall/proto/swpb"
+)
+
+// toProto returns the message that hands a request over. age is the part of the caller's
+// time that is used up when the answer is back, besides its execution.
+func toProto(req *direct.Request, age time.Duration, maxAttempts int) *swpb.HandoverRequest {
+	return &swpb.HandoverRequest{
+		RequestId: req.ID, Method: req.Method, Host: req.Host, Target: req.Target, Header: toFields(req.Header), Body: req.Body,
+		BudgetUs: uint64(req.Budget / time.Microsecond), AgeUs: uint64(age / time.Microsecond), MaxAttempts: uint32(maxAttempts),
+	}
+}
+
+// fromProto returns the request that another VM hands over.
+func fromProto(now time.Time, r *swpb.HandoverRequest) *direct.Request {
+	req := &direct.Request{
+		Budget:      time.Duration(r.GetBudgetUs()) * time.Microsecond,
+		Arrived:     now.Add(-time.Duration(r.GetAgeUs()) * time.Microsecond),
+		MaxAttempts: int(r.GetMaxAttempts()),
+	}
+	req.ID, req.Method, req.Host, req.Target = r.GetRequestId(), r.GetMethod(), r.GetHost(), r.GetTarget()
+	req.Header, req.Body = fromFields(r.GetHeader()), r.GetBody()
+	return req
+}
+
+func toFields(header []connpool.Header) []*swpb.HeaderField {
+	out := make([]*swpb.HeaderField, len(header))
+	for i, h := range header {
+		out[i] = &swpb.HeaderField{Name: h.Name, Value: h.Value}
+	}
+	return out
+}
+
+func fromFields(header []*swpb.HeaderField) []connpool.Header {
+	out := make([]connpool.Header, len(header))
+	for i, h := range header {
+		out[i] = connpool.Header{Name: h.GetName(), Value: h.GetValue()}
+	}
+	return out
+}
+
+func replyToProto(a *direct.Answer) *swpb.HandoverReply {
+	switch {
+	case a.Refusal != nil:
+		return &swpb.HandoverReply{Refusal: verdict.ToProto(a.Refusal)}
+	case a.Gathered != nil:
+		g := a.Gathered
+		return &swpb.HandoverReply{Gathered: &swpb.GatheredParts{Receipts: g.Receipts, Missing: uint32(g.Missing), Body: g.Body}}
+	}
+	r := a.Reply
+	return &swpb.HandoverReply{Reply: &swpb.ReplicaReply{Status: uint32(r.Status), Header: toFields(r.Header), Body: r.Body, NotRun: r.NotRun}}
+}
+
+// answerFromProto returns the answer of another VM. A reply without any, as of a build
+// that doesn't know the call, says that the request did not run there.
+func answerFromProto(r *swpb.HandoverReply) *direct.Answer {
+	switch {
+	case r.GetRefusal() != nil:
+		return &direct.Answer{Refusal: verdict.FromProto(r.GetRefusal())}
+	case r.GetGathered() != nil:
+		g := r.GetGathered()
+		return &direct.Answer{Gathered: &direct.Gathered{Receipts: g.GetReceipts(), Missing: int(g.GetMissing()), Body: g.GetBody()}}
+	case r.GetReply() != nil:
+		p := r.GetReply()
+		return &direct.Answer{Reply: &connpool.Reply{Status: int(p.GetStatus()), Header: fromFields(p.GetHeader()), Body: p.GetBody(), NotRun: p.GetNotRun()}}
+	}
+	return &direct.Answer{Refusal: verdict.New(verdict.NotRun, verdict.PeerLost, "the VM takes no requests of others")}
+}
--- a/internal/storerelay/serve.go
+++ b/internal/storerelay/serve.go
@@ -14,10 +14,15 @@
 // handle answers a request of another VM. It answers a store request from the mirror only if
 // this VM reads the prefix from the store itself: through a chain of VMs a reply
 // could be out of date.
-func (s *Service) handle(ctx context.Context, _ peer.Identity, env *swpb.Envelope) (*swpb.Envelope, error) {
+func (s *Service) handle(ctx context.Context, from peer.Identity, env *swpb.Envelope) (*swpb.Envelope, error) {
 	if r := env.GetRolloutReport(); r != nil && s.onRolloutReport != nil {
 		return &swpb.Envelope{Body: &swpb.Envelope_RolloutGuidance{RolloutGuidance: s.onRolloutReport(r)}}, nil
 	}
+	if s.onCall != nil {
+		if reply := s.onCall(ctx, from, env); reply != nil {
+			return reply, nil
+		}
+	}
 	if x := env.GetLimitExchange(); x != nil && s.onLimits != nil {
 		return &swpb.Envelope{Body: &swpb.Envelope_LimitExchange{LimitExchange: s.onLimits(x)}}, nil
 	}
@@ -49,6 +54,12 @@
 	s.onRolloutReport = fn
 }
 
+// OnCall sets a function that answers calls of other kinds, which share the sessions of
+// this service; nil means that a call isn't its kind. It must be called before Start.
+func (s *Service) OnCall(fn func(ctx context.Context, from peer.Identity, env *swpb.Envelope) *swpb.Envelope) {
+	s.onCall = fn
+}
+
 // OnLimits sets the function that answers the limits of upstreams that other VMs report.
 // It must be called before Start.
 func (s *Service) OnLimits(fn func(*swpb.LimitExchange) *swpb.LimitExchange) { s.onLimits = fn }
--- a/internal/storerelay/service.go
+++ b/internal/storerelay/service.go
@@ -95,6 +95,8 @@
 	onRolloutReport func(*swpb.RolloutReport) *swpb.RolloutGuidance
 	// onLimits answers the limits of upstreams that other VMs report.
 	onLimits func(*swpb.LimitExchange) *swpb.LimitExchange
+	// onCall answers calls of other kinds.
+	onCall func(ctx context.Context, from peer.Identity, env *swpb.Envelope) *swpb.Envelope
 
 	mu          sync.Mutex // guards the fields below
 	mirrors     map[string]*Mirror
