--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -37,8 +37,8 @@
 type DialFunc func(ctx context.Context, addr string) (net.Conn, error)
 
 // keepAlive makes the kernel probe connections, so that a dead one is detected
-// within about two seconds without requests on it.
-var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: 500 * time.Millisecond, Count: 3}
+// within four seconds without requests on it. The kernel counts in whole seconds.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 3}
 
 // DialTCP is the DialFunc for TCP.
 func DialTCP(ctx context.Context, addr string) (net.Conn, error) {
--- a/internal/platform/transport.go
+++ b/internal/platform/transport.go
@@ -22,9 +22,9 @@
 	WatchReplySlack = time.Second
 )
 
-// keepAlive makes TCP detect within about two seconds that the server of a long
-// watch no longer responds.
-var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: 500 * time.Millisecond, Count: 3}
+// keepAlive makes TCP detect within four seconds that the server of a long watch no
+// longer responds. The kernel counts in whole seconds.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 3}
 
 // Transport makes HTTP calls with JSON bodies to one service of the platform.
 // It never retries a call and is safe for concurrent use.
