--- a/internal/direct/serve.go
+++ b/internal/direct/serve.go
@@ -79,7 +79,7 @@
 
 // Serve answers a request.
 func (s *Service) Serve(req *Request) *Answer {
-	span := s.startSpan(req)
+	span := s.startSpan(req, "request")
 	c, refusal := s.newCall(req)
 	if refusal != nil {
 		s.logRefusal(req, c, refusal)
--- a/internal/direct/spans.go
+++ b/internal/direct/spans.go
@@ -20,9 +20,23 @@
 // each of its attempts. It must be called before the first request.
 func (s *Service) SetTracer(t *telemetry.Tracer) { s.tracer = t }
 
+// StartHandover starts the span of a request that is handed over to another VM, which
+// end ends with the outcome.
+func (s *Service) StartHandover(req *Request, vm string) (end func(outcome string)) {
+	span := s.startSpan(req, "handover")
+	if span == nil {
+		return func(string) {}
+	}
+	span.SetAttributes(attribute.String("vm", vm))
+	return func(outcome string) {
+		span.SetAttributes(attribute.String("outcome", outcome))
+		span.End()
+	}
+}
+
 // startSpan starts the span of a request. It returns nil without a tracer or if the
 // request is not sampled.
-func (s *Service) startSpan(req *Request) trace.Span {
+func (s *Service) startSpan(req *Request, name string) trace.Span {
 	if s.tracer == nil {
 		return nil
 	}
@@ -32,7 +46,7 @@
 			ctx = s.tracer.Extract(ctx, h.Value)
 		}
 	}
-	_, span := s.tracer.Start(ctx, "request", trace.WithTimestamp(req.Arrived))
+	_, span := s.tracer.Start(ctx, name, trace.WithTimestamp(req.Arrived))
 	if !span.IsRecording() {
 		return nil
 	}
--- a/internal/handover/serve.go
+++ b/internal/handover/serve.go
@@ -98,6 +98,7 @@
 // handOver hands a request over to one VM and returns its answer.
 func (s *Service) handOver(req *direct.Request, c helpers.Choice, deadline time.Time, maxAttempts int) *direct.Answer {
 	begin := time.Now()
+	endSpan := s.tier.StartHandover(req, c.Name)
 	ctx, cancel := contextOf(req, deadline)
 	defer cancel()
 	msg := toProto(req, begin.Sub(req.Arrived)+c.RoundTrip, maxAttempts)
@@ -111,6 +112,7 @@
 	s.mu.Lock()
 	s.helpers.Done(time.Now(), c.Name, a.Refusal != nil && a.Refusal.Cause == verdict.PeerLost)
 	s.mu.Unlock()
+	endSpan(outcomeOf(a))
 	s.logHandover(req, c, a, time.Since(begin))
 	return a
 }
@@ -140,11 +142,16 @@
 	return ctx, cancel
 }
 
-func (s *Service) logHandover(req *direct.Request, c helpers.Choice, a *direct.Answer, took time.Duration) {
-	outcome := "answered"
+// outcomeOf is the outcome of a request in logs and spans.
+func outcomeOf(a *direct.Answer) string {
 	if a.Refusal != nil {
-		outcome = string(a.Refusal.Cause)
+		return string(a.Refusal.Cause)
 	}
+	return "answered"
+}
+
+func (s *Service) logHandover(req *direct.Request, c helpers.Choice, a *direct.Answer, took time.Duration) {
+	outcome := outcomeOf(a)
 	s.metrics.Add("sent_"+outcome, 1)
 	e := s.log.Info("handover").Str("id", req.ID).Str("vm", c.Name).Str("outcome", outcome).Dur("took", took).Dur("round_trip", c.RoundTrip)
 	if a.Refusal != nil {
--- a/internal/handover/service.go
+++ b/internal/handover/service.go
@@ -45,6 +45,7 @@
 	NeedOf(req *direct.Request) (direct.Need, bool)
 	Priority(req *direct.Request) (priority, most int)
 	ProbeCut(ctx context.Context)
+	StartHandover(req *direct.Request, vm string) (end func(outcome string))
 }
 
 // Config configures a Service.
