Take a request back from a VM that loses the replicas as well

A VM that serves for others may be cut off a moment later. The requests that it had then waited there until their deadline. It now returns those that are idempotent, with the attempts that are left, and the VM that has the caller asks another one. The spec fails before: the request ends with the refusal of the first VM.

--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -209,7 +209,8 @@
 		know(a, b, c)
 		a.tier.setServe(local)
 		b.loseAll()
-		a.loseAll()
+		a.tier.setCuts(reach.Cuts{All: true})
+		time.Sleep(300 * time.Millisecond)
 		Expect(a.Serve(request("/x"))).To(Equal(cutAnswer))
 		Expect(b.tier.requests()).To(BeEmpty())
 	})
@@ -308,4 +309,24 @@
 		Expect(refused["/late"]).To(Equal(100 - 64))
 		Expect(refused["/x"]).To(Equal(100 - 64))
 	})
+
+	It("asks another VM when the one that has the request loses the replicas too", func() {
+		a, b, c := startVM("a", nil), startVM("b", nil), startVM("c", nil)
+		know(a, b, c)
+		a.loseAll()
+		var once sync.Once
+		for _, m := range []*machine{b, c} {
+			m.tier.setServe(func(req *direct.Request) *direct.Answer {
+				first := false
+				once.Do(func() { first = true })
+				if !first {
+					return answered("other")(req)
+				}
+				m.tier.setCuts(reach.Cuts{All: true})
+				<-req.Leave
+				return &direct.Answer{HandOver: &direct.HandOver{MaxAttempts: 1, Refusal: cutAnswer.Refusal}}
+			})
+		}
+		Expect(string(a.Serve(request("/x")).Reply.Body)).To(Equal("other"))
+	})
 })
--- a/internal/handover/help.go
+++ b/internal/handover/help.go
@@ -43,7 +43,8 @@
 	return reply
 }
 
-// Help serves a request of another VM. It isn't handed on.
+// Help serves a request of another VM. It isn't handed on: if this VM loses the replicas
+// meanwhile, it goes back to the other one.
 func (s *Service) Help(ctx context.Context, from string, r *swpb.HandoverRequest) *swpb.HandoverReply {
 	req := fromProto(time.Now(), r)
 	req.Path, _, _ = strings.Cut(req.Target, "?")
@@ -55,6 +56,9 @@
 	defer s.busy.Add(-1)
 	s.metrics.Add("served", 1)
 	s.log.Info("handover").Str("id", req.ID).Str("from", from).Dur("age", time.Since(req.Arrived)).Msg("request of another VM")
+	s.mu.Lock()
+	req.Leave = s.leave
+	s.mu.Unlock()
 	return replyToProto(s.tier.Serve(req))
 }
 
--- a/internal/handover/serve.go
+++ b/internal/handover/serve.go
@@ -56,6 +56,10 @@
 		}
 		tried = append(tried, c.Name)
 		a = s.handOver(req, c, s.deadline(req, &need), maxAttempts)
+		if a.HandOver != nil {
+			maxAttempts, a = a.HandOver.MaxAttempts, &direct.Answer{Refusal: a.HandOver.Refusal}
+			continue
+		}
 		if !s.tryAnother(req, a) {
 			return a, true
 		}
@@ -110,7 +114,7 @@
 		a = answerFromProto(env.GetHandoverReply())
 	}
 	s.mu.Lock()
-	s.helpers.Done(time.Now(), c.Name, a.Refusal != nil && a.Refusal.Cause == verdict.PeerLost)
+	s.helpers.Done(time.Now(), c.Name, a.HandOver != nil || a.Refusal != nil && a.Refusal.Cause == verdict.PeerLost)
 	s.mu.Unlock()
 	endSpan(outcomeOf(a))
 	s.logHandover(req, c, a, time.Since(begin))
@@ -144,7 +148,10 @@
 
 // outcomeOf is the outcome of a request in logs and spans.
 func outcomeOf(a *direct.Answer) string {
-	if a.Refusal != nil {
+	switch {
+	case a.HandOver != nil:
+		return "handed-back"
+	case a.Refusal != nil:
 		return string(a.Refusal.Cause)
 	}
 	return "answered"
--- a/internal/handover/service.go
+++ b/internal/handover/service.go
@@ -72,6 +72,7 @@
 	busy atomic.Int64               // requests that are served for other VMs
 
 	mu      sync.Mutex // guards the fields below
+	rng     *rand.Rand
 	helpers *helpers.Set
 	// leave is closed when requests that wait for replicas should be handed over.
 	leave   chan struct{}
@@ -87,9 +88,10 @@
 		Self:    peer.Identity{Fleet: cfg.Fleet, Node: cfg.Self.Name, Zone: cfg.Self.Zone, Role: peer.RoleControl, Incarnation: uint64(time.Now().UnixNano())},
 		Streams: 2, StallTimeout: stallTimeout,
 	}
+	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	return &Service{
-		cfg: cfg, tier: tier, pool: peer.NewPool(o), log: telemetry.NewRateLimitedLogger(cfg.Log), metrics: telemetry.Map("handover"),
-		helpers: helpers.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))), leave: make(chan struct{}),
+		rng: rng, cfg: cfg, tier: tier, pool: peer.NewPool(o), log: telemetry.NewRateLimitedLogger(cfg.Log), metrics: telemetry.Map("handover"),
+		helpers: helpers.New(rng), leave: make(chan struct{}),
 	}
 }
 
--- a/internal/handover/wire.go
+++ b/internal/handover/wire.go
@@ -48,6 +48,8 @@
 
 func replyToProto(a *direct.Answer) *swpb.HandoverReply {
 	switch {
+	case a.HandOver != nil:
+		return &swpb.HandoverReply{Refusal: verdict.ToProto(a.HandOver.Refusal), AttemptsLeft: uint32(a.HandOver.MaxAttempts)}
 	case a.Refusal != nil:
 		return &swpb.HandoverReply{Refusal: verdict.ToProto(a.Refusal)}
 	case a.Gathered != nil:
@@ -62,6 +64,8 @@
 // that doesn't know the call, says that the request did not run there.
 func answerFromProto(r *swpb.HandoverReply) *direct.Answer {
 	switch {
+	case r.GetRefusal() != nil && r.GetAttemptsLeft() > 0:
+		return &direct.Answer{HandOver: &direct.HandOver{MaxAttempts: int(r.GetAttemptsLeft()), Refusal: verdict.FromProto(r.GetRefusal())}}
 	case r.GetRefusal() != nil:
 		return &direct.Answer{Refusal: verdict.FromProto(r.GetRefusal())}
 	case r.GetGathered() != nil:
