Refuse at once while no replica can be reached from any VM

A VM that heard no replica, and to which no other VM said that it reaches any, went on trying each request until its deadline. The spec fails before: the request is tried.

--- a/internal/decide/reach/machine.go
+++ b/internal/decide/reach/machine.go
@@ -34,7 +34,9 @@
 // Cuts is what a VM seems to be cut off from.
 type Cuts struct {
 	All   bool            // all replicas
-	Since time.Time       // with All: last sign of any replica
+	Since time.Time       // with All: last sign of any replica before
+	Began time.Time       // with All: when that was judged
+	Heard bool            // with All: some replica was heard lately
 	Pools map[string]bool // pools of which it hears no replica, if not All
 }
 
@@ -47,8 +49,7 @@
 // Machine judges the paths to all replicas. It is not safe for concurrent use.
 type Machine struct {
 	cuts     Cuts
-	beganAt  time.Time // of the cut from all
-	endedAt  time.Time
+	endedAt  time.Time // of the last cut from all
 	hold     time.Duration
 	pausedAt time.Time
 }
@@ -97,19 +98,20 @@
 	if now.Sub(m.endedAt) < relapseTime {
 		hold = min(2*m.hold, maxHold)
 	}
-	m.hold, m.beganAt = hold, now
-	m.cuts = Cuts{All: true, Since: heard}
+	m.hold = hold
+	m.cuts = Cuts{All: true, Since: heard, Began: now}
 }
 
 // judgeEnd ends a cut from all replicas when some are heard again.
 func (m *Machine) judgeEnd(now time.Time, replicas []Replica) bool {
 	heard := 0
 	for _, r := range replicas {
-		if r.Path.heardAt.After(m.beganAt) && now.Sub(r.Path.heardAt) <= heardTime {
+		if r.Path.heardAt.After(m.cuts.Began) && now.Sub(r.Path.heardAt) <= heardTime {
 			heard++
 		}
 	}
-	if heard < min(minHeard, len(replicas)) || now.Sub(m.beganAt) < m.hold {
+	m.cuts.Heard = heard > 0
+	if heard < min(minHeard, len(replicas)) || now.Sub(m.cuts.Began) < m.hold {
 		return false
 	}
 	m.cuts, m.endedAt = Cuts{}, now
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -209,7 +209,7 @@
 		know(a, b, c)
 		a.tier.setServe(local)
 		b.loseAll()
-		a.tier.setCuts(reach.Cuts{All: true})
+		a.tier.setCuts(reach.Cuts{All: true, Heard: true})
 		time.Sleep(300 * time.Millisecond)
 		Expect(a.Serve(request("/x"))).To(Equal(cutAnswer))
 		Expect(b.tier.requests()).To(BeEmpty())
@@ -329,4 +329,19 @@
 		}
 		Expect(string(a.Serve(request("/x")).Reply.Body)).To(Equal("other"))
 	})
+
+	It("refuses at once, as not run, when nobody reaches a replica, until one is heard", func() {
+		a, b := startVM("a", nil), startVM("b", nil)
+		know(a, b)
+		a.tier.setServe(local)
+		b.loseAll()
+		a.tier.setCuts(reach.Cuts{All: true, Began: time.Now().Add(-time.Second)})
+		time.Sleep(300 * time.Millisecond)
+		v := a.Serve(request("/x")).Refusal
+		Expect(v.Outcome).To(Equal(verdict.NotRun))
+		Expect(v.RetryAfter).To(BeNumerically(">", 0))
+		a.tier.setCuts(reach.Cuts{All: true, Heard: true, Began: time.Now().Add(-time.Second)})
+		time.Sleep(300 * time.Millisecond)
+		Expect(a.Serve(request("/x"))).To(Equal(cutAnswer))
+	})
 })
--- a/internal/handover/serve.go
+++ b/internal/handover/serve.go
@@ -24,6 +24,11 @@
 	if a, ok := s.viaOther(req, 0); ok {
 		return a
 	}
+	if v := s.refuse(); v != nil {
+		s.metrics.Add("refused", 1)
+		s.log.Info("handover").Str("id", req.ID).Str("verdict", v.Outcome.String()).Str("detail", v.Detail).Msg("request refused")
+		return &direct.Answer{Refusal: v}
+	}
 	s.mu.Lock()
 	req.Leave = s.leave
 	s.mu.Unlock()
@@ -67,6 +72,27 @@
 	return a, a != nil && !need.ServableWithout(cuts.Has)
 }
 
+// refuse returns a refusal while no replica can be reached from here or through another
+// VM, or nil.
+func (s *Service) refuse() *verdict.Error {
+	cuts := s.cut.Load()
+	if cuts == nil || !cuts.All || cuts.Heard || time.Since(cuts.Began) < 2*askTimeout {
+		return nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.helpers.Any(time.Now(), func(map[string]bool) bool { return true }) {
+		return nil
+	}
+	return verdict.New(verdict.NotRun, verdict.NoReplica, "no replica can be reached, and no other VM says that it reaches any").WithRetryAfter(s.jitter(helpers.AskInterval))
+}
+
+// jitter returns a random time between d and 2 d, so that callers don't come back
+// together. s.mu is held.
+func (s *Service) jitter(d time.Duration) time.Duration {
+	return d + time.Duration(s.rng.Int64N(int64(d)))
+}
+
 // choose chooses a VM that reaches more of the pools that a request needs than this one.
 func (s *Service) choose(need *direct.Need, cuts *reach.Cuts, tried []string) (helpers.Choice, bool) {
 	here := need.Missing(cuts.Has)
