--- a/internal/decide/reach/machine.go
+++ b/internal/decide/reach/machine.go
@@ -8,6 +8,8 @@
 	// pool may be slow together, so a pool takes longer.
 	quietAll  = 400 * time.Millisecond
 	quietPool = time.Second
+	// poolInterval is the time between two judgements of the pools, which cost more.
+	poolInterval = 500 * time.Millisecond
 	// minTroubled is the number of replicas that must fail, if there are as many.
 	minTroubled = 3
 	// minHeard is the number of replicas that must be heard within heardTime, if there
@@ -52,6 +54,7 @@
 	endedAt  time.Time // of the last cut from all
 	hold     time.Duration
 	pausedAt time.Time
+	poolsAt  time.Time // when the pools were last judged
 }
 
 // Paused records that the process has run again since now, after a pause.
@@ -123,6 +126,10 @@
 
 // judgePools judges the pools one by one.
 func (m *Machine) judgePools(now time.Time, replicas []Replica) bool {
+	if now.Sub(m.poolsAt) < poolInterval {
+		return false
+	}
+	m.poolsAt = now
 	byPool := map[string][]Replica{}
 	for _, r := range replicas {
 		byPool[r.Pool] = append(byPool[r.Pool], r)
--- a/internal/decide/reach/reach_test.go
+++ b/internal/decide/reach/reach_test.go
@@ -140,6 +140,7 @@
 		Expect(w.cuts().Has("odd")).To(BeTrue())
 		Expect(w.cuts().Has("even")).To(BeFalse())
 		w.replicas[1].Path.Heard(w.now)
+		w.now = w.now.Add(500 * time.Millisecond)
 		w.machine.Judge(w.now, w.replicas)
 		Expect(w.cuts().Any()).To(BeFalse())
 	})
