Keep the verdict on what was sent before a handover

A request that waited for replicas, or for a VM that lost them, and was then handed over could be refused as not run when the next VM had no room, though its attempts may have run. The worse verdict now stands. Only idempotent requests go that way, so none could have run twice; what callers were told was wrong. The spec fails before: not-run instead of may-have-run.

--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -344,4 +344,18 @@
 		time.Sleep(300 * time.Millisecond)
 		Expect(a.Serve(request("/x"))).To(Equal(cutAnswer))
 	})
+
+	It("doesn't say that a request has not run when it waited for replicas before", func() {
+		a, b := startVM("a", nil), startVM("b", nil)
+		know(a, b)
+		a.tier.setServe(func(req *direct.Request) *direct.Answer {
+			<-req.Leave
+			return &direct.Answer{HandOver: &direct.HandOver{MaxAttempts: 1, Refusal: cutAnswer.Refusal}}
+		})
+		b.tier.setServe(func(*direct.Request) *direct.Answer {
+			return &direct.Answer{Refusal: verdict.New(verdict.NotRun, verdict.Overload, "full")}
+		})
+		time.AfterFunc(50*time.Millisecond, func() { a.tier.setCuts(reach.Cuts{All: true, Began: time.Now()}) })
+		Expect(a.Serve(request("/x")).Refusal.Outcome).To(Equal(verdict.MayHaveRun))
+	})
 })
--- a/internal/handover/serve.go
+++ b/internal/handover/serve.go
@@ -21,7 +21,7 @@
 
 // Serve answers a caller's request.
 func (s *Service) Serve(req *direct.Request) *direct.Answer {
-	if a, ok := s.viaOther(req, 0); ok {
+	if a, ok := s.viaOther(req, 0, nil); ok {
 		return a
 	}
 	if v := s.refuse(); v != nil {
@@ -36,15 +36,16 @@
 	if a.HandOver == nil {
 		return a
 	}
-	if handed, ok := s.viaOther(req, a.HandOver.MaxAttempts); ok {
+	if handed, ok := s.viaOther(req, a.HandOver.MaxAttempts, a.HandOver.Refusal); ok {
 		return handed
 	}
 	return &direct.Answer{Refusal: a.HandOver.Refusal}
 }
 
 // viaOther has another VM serve a request that can't be served whole here. ok is false if
-// no other VM can do better, or none takes it and it can be served in part here.
-func (s *Service) viaOther(req *direct.Request, maxAttempts int) (a *direct.Answer, ok bool) {
+// no other VM can do better, or none takes it and it can be served in part here. before is
+// the verdict on what was sent before, or nil: it may have run, whatever the other VM says.
+func (s *Service) viaOther(req *direct.Request, maxAttempts int, before *verdict.Error) (a *direct.Answer, ok bool) {
 	cuts := s.cut.Load()
 	if cuts == nil {
 		return nil, false
@@ -62,10 +63,15 @@
 		tried = append(tried, c.Name)
 		a = s.handOver(req, c, s.deadline(req, &need), maxAttempts)
 		if a.HandOver != nil {
-			maxAttempts, a = a.HandOver.MaxAttempts, &direct.Answer{Refusal: a.HandOver.Refusal}
+			maxAttempts, before = a.HandOver.MaxAttempts, verdict.Worse(before, a.HandOver.Refusal)
+			a = &direct.Answer{Refusal: before}
 			continue
 		}
-		if !s.tryAnother(req, a) {
+		again := s.tryAnother(req, a)
+		if a.Refusal != nil {
+			a = &direct.Answer{Refusal: verdict.Worse(a.Refusal, before)}
+		}
+		if !again {
 			return a, true
 		}
 	}
