--- a/internal/direct/limits.go
+++ b/internal/direct/limits.go
@@ -7,12 +7,11 @@
 	"github.com/sapphirewall/sapphirewall/internal/decide/upstreamlimit"
 )
 
-// limitRetention is how long a limit, or its end, is kept after it was last heard while
-// its upstream is not usable: longer than the registration of an upstream is missing
-// after an outage of the store.
-const limitRetention = time.Minute
-
 const (
+	// limitRetention is how long a limit, or its end, is kept after it was last heard
+	// while its upstream is not usable: longer than the registration of an upstream is
+	// missing after an outage of the store.
+	limitRetention = time.Minute
 	// endReportTime is how long the end of a limit is reported to other VMs.
 	endReportTime = 10 * time.Second
 	// minLimitWait is the least Retry-After of a request that the limits have no room
@@ -104,9 +103,9 @@
 }
 
 // limitWait returns how long a request of a priority must wait for the limits of the
-// replicas that may serve a part. It is zero if one of them can take it now; limited is
+// replicas that may serve a part. It is zero if one of them can take it now; usable is
 // false if none may serve it at all. s.mu is held.
-func (s *Service) limitWait(c *call, p *pool, now time.Time) (wait time.Duration, limited bool) {
+func (s *Service) limitWait(c *call, p *pool, now time.Time) (wait time.Duration, usable bool) {
 	wait = -1
 	for _, r := range p.replicas {
 		if !p.mayServe(now, r) || !s.eligible(c, r) {
