Hand over a request in flight only with attempts that it has left for certain

Cause: when a cut was found, attempts that had been sent after the last sign of any replica were taken not to have arrived. A cut may be one-way, and a VM that is short of processor time hears late: its attempts arrive and run.

All attempts of a part that were or may have been executed now count, those in flight too; only what is left of the route's attempts goes to another VM.

Ruled out: requests that are handed over before any attempt, which pool cuts lead to; a second VM after one that may have run the request, which is never asked.

--- a/internal/decide/gather/gather.go
+++ b/internal/decide/gather/gather.go
@@ -94,6 +94,16 @@
 // Received returns the number of parts received.
 func (m *Machine) Received() int { return m.received }
 
+// MaxExecutions returns the most attempts at a part that were or may have been executed,
+// or are in flight.
+func (m *Machine) MaxExecutions() int {
+	most := 0
+	for _, p := range m.parts {
+		most = max(most, p.executions)
+	}
+	return most
+}
+
 // CanSkipPart reports whether one more part may be skipped by choice. Half of
 // the parts that may be missing are reserved for parts that fail.
 func (m *Machine) CanSkipPart() bool { return 2*(m.givenUp+1) <= m.cfg.Parts-m.cfg.MinParts }
--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -71,7 +71,6 @@
 	}
 	c.machine.Sent(now, planned.Part)
 	c.tried[planned.Part] = append(c.tried[planned.Part], r.status.ID)
-	c.sentAt[planned.Part] = append(c.sentAt[planned.Part], now)
 	c.inFlight = append(c.inFlight, a)
 	c.sentByKind[planned.Kind]++
 	if planned.Kind != gather.First {
--- a/internal/direct/handover.go
+++ b/internal/direct/handover.go
@@ -8,27 +8,14 @@
 	"github.com/sapphirewall/sapphirewall/internal/verdict"
 )
 
-// handOver returns how another VM may serve the call, or nil if none may. Attempts that
-// were sent after the last sign of any replica have not reached one; the others may have
-// been executed.
+// handOver returns how another VM may serve the call, or nil if none may. Attempts in
+// flight count as executed: a cut may be one-way, and only the answers lost.
 func (c *call) handOver() *HandOver {
 	c.s.mu.Lock()
-	cuts := c.s.reach.Cuts()
+	cut := c.s.reach.Cuts().All
 	c.s.mu.Unlock()
-	if !cuts.All || !c.route.Idempotent || c.machine.Received() >= c.minParts() {
-		return nil
-	}
-	left := c.maxAttempts
-	for _, sent := range c.sentAt {
-		arrived := 0
-		for _, at := range sent {
-			if !at.After(cuts.Since) {
-				arrived++
-			}
-		}
-		left = min(left, c.maxAttempts-arrived)
-	}
-	if left < 1 {
+	left := c.maxAttempts - c.machine.MaxExecutions()
+	if !cut || !c.route.Idempotent || c.machine.Received() >= c.minParts() || left < 1 {
 		return nil
 	}
 	return &HandOver{MaxAttempts: left, Refusal: c.refusal(verdict.NoReplica, "the VM is cut off from the replicas")}
--- a/internal/direct/serve.go
+++ b/internal/direct/serve.go
@@ -51,7 +51,6 @@
 	results     chan *attempt
 	replies     []*connpool.Reply // by part; nil: none yet
 	tried       [][]string        // replicas that got an attempt, by part
-	sentAt      [][]time.Time     // of the attempts, by part
 	maxAttempts int               // replicas that may execute a part
 	budgetParts []retry.Part      // by part; guarded by s.mu
 	inFlight    []*attempt
@@ -230,7 +229,6 @@
 	c.results = make(chan *attempt, n*(attempts+maxUnexecuted))
 	c.replies = make([]*connpool.Reply, n)
 	c.tried = make([][]string, n)
-	c.sentAt = make([][]time.Time, n)
 	c.budgetParts = make([]retry.Part, n)
 }
 
