--- a/internal/callerhttp/conn.go
+++ b/internal/callerhttp/conn.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/sapphirewall/sapphirewall/internal/sockstat"
 )
 
 // conn is one caller's connection. One goroutine reads requests and another
@@ -27,6 +29,7 @@
 type received struct {
 	request *fasthttp.Request
 	arrived time.Time
+	waited  time.Duration // of its last byte, unread
 	status  int
 }
 
@@ -87,7 +90,8 @@
 		return refusal(err)
 	}
 	c.setReadDeadline(0)
-	return &received{request: req, arrived: time.Now()}
+	waited, _ := sockstat.SinceReceived(c.nc)
+	return &received{request: req, arrived: time.Now(), waited: waited}
 }
 
 // setReadDeadline sets the time limit of the next read; 0 is none. The deadline of a
@@ -165,7 +169,7 @@
 		return false
 	}
 	defer fasthttp.ReleaseRequest(in.request)
-	c.server.handler(&Exchange{Request: in.request, Response: resp, Arrived: in.arrived, Disconnected: c.disconnected, Terminating: c.server.terminating})
+	c.server.handler(&Exchange{Request: in.request, Response: resp, Arrived: in.arrived, Waited: in.waited, Disconnected: c.disconnected, Terminating: c.server.terminating})
 	if in.request.Header.IsHead() {
 		resp.SkipBody = true
 	}
--- a/internal/callerhttp/server.go
+++ b/internal/callerhttp/server.go
@@ -16,6 +16,7 @@
 	Request      *fasthttp.Request
 	Response     *fasthttp.Response
 	Arrived      time.Time       // when its last byte was read
+	Waited       time.Duration   // how long that byte was unread; 0: not known
 	Disconnected <-chan struct{} // closed when the caller has disconnected
 	Terminating  <-chan struct{} // closed when the process is about to end: answer at once
 }
--- a/internal/direct/log.go
+++ b/internal/direct/log.go
@@ -103,6 +103,12 @@
 	if a.Refusal != nil {
 		e = e.Str("verdict", a.Refusal.Outcome.String()).Str("detail", a.Refusal.Detail)
 	}
+	if c.req.Waited > 0 {
+		e = e.Dur("waited", c.req.Waited)
+	}
+	if c.queued > 0 {
+		e = e.Int("queued", c.queued)
+	}
 	if a.Reply != nil {
 		e = e.Int("status", a.Reply.Status)
 	}
--- a/internal/direct/options.go
+++ b/internal/direct/options.go
@@ -33,6 +33,9 @@
 	// StartedAt is when the process started; zero: now. The VM's shares of some
 	// fleet-wide limits are withheld for a while after it.
 	StartedAt time.Time
+	// Queued returns the bytes for other VMs that still wait in the VM's link; nil: not
+	// known.
+	Queued func() int
 }
 
 // The constants of the service.
--- a/internal/direct/request.go
+++ b/internal/direct/request.go
@@ -13,6 +13,7 @@
 	Path         string        // of Target, without the query
 	Budget       time.Duration // how long the caller waits for the answer; 0: not stated
 	Arrived      time.Time
+	Waited       time.Duration   // how long the request was unread before; 0: not known
 	Disconnected <-chan struct{} // closed when the caller has disconnected
 	Terminating  <-chan struct{} // closed when the process has to end
 	// Leave is closed when the VM is cut off from the replicas and another one can serve
--- a/internal/direct/serve.go
+++ b/internal/direct/serve.go
@@ -58,6 +58,7 @@
 	failedReply *connpool.Reply // reply of a replica that failed to execute the request
 	sentByKind  [3]int          // attempts sent, by gather.Kind
 	span        trace.Span      // nil: not sampled
+	queued      int             // most bytes for other VMs in the link when attempts were sent
 	limitWait   time.Duration   // after which the replicas' limits have room for a part that was not sent
 	unanswered  bool            // the call has ended without an answer; guarded by s.mu
 }
@@ -303,6 +304,7 @@
 			}
 		}
 		c.s.mu.Unlock()
+		c.queued = max(c.queued, c.s.queued())
 		for _, a := range started {
 			a.replica.conns.Send(&a.wire)
 		}
--- a/internal/direct/service.go
+++ b/internal/direct/service.go
@@ -148,6 +148,7 @@
 		case <-ctx.Done():
 			return
 		case now := <-tick.C:
+			s.observeWaits(now)
 			s.sweep(now)
 			s.reportVersions(now)
 			s.log.Tick(now)
--- /dev/null
+++ b/internal/direct/waits.go
@@ -0,0 +1,34 @@
+package direct
+
+import "time"
+
+// The waits from which a log line is written.
+const (
+	// loggedLag is a time for which goroutines that could run wait for the processor.
+	loggedLag = 100 * time.Millisecond
+	// loggedQueue is the number of bytes for other VMs that wait in the link: 13 ms of
+	// 20 Mbit/s.
+	loggedQueue = 32 << 10
+)
+
+// queued returns the bytes for other VMs that wait in the VM's link.
+func (s *Service) queued() int {
+	if s.opts.Queued == nil {
+		return 0
+	}
+	return s.opts.Queued()
+}
+
+// observeWaits records how late a tick that was due at a time is handled, and what waits
+// in the VM's link. Both make requests late without a sign at the requests themselves.
+func (s *Service) observeWaits(due time.Time) {
+	lag, queued := time.Since(due), s.queued()
+	s.metrics.observe("lag", lag)
+	if lag >= loggedLag {
+		s.log.Warn("waits").Dur("lag", lag).Msg("goroutines wait for the processor; requests are read and sent late")
+	}
+	if queued >= loggedQueue {
+		s.metrics.count("link_queued")
+		s.log.Info("waits").Int("queued", queued).Msg("bytes for other VMs wait in the link; what is sent now arrives after them")
+	}
+}
--- a/internal/handover/service.go
+++ b/internal/handover/service.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -56,6 +57,7 @@
 	// Draining reports whether the process is about to stop, and takes no more requests
 	// of other VMs.
 	Draining func() bool
+	Wrap     func(net.Conn) net.Conn // of connections to other VMs; nil: none
 	Log      zerolog.Logger
 }
 
@@ -86,7 +88,7 @@
 func New(cfg Config, tier Tier) *Service {
 	o := peer.Options{
 		Self:    peer.Identity{Fleet: cfg.Fleet, Node: cfg.Self.Name, Zone: cfg.Self.Zone, Role: peer.RoleControl, Incarnation: uint64(time.Now().UnixNano())},
-		Streams: 2, StallTimeout: stallTimeout,
+		Streams: 2, StallTimeout: stallTimeout, Wrap: cfg.Wrap,
 	}
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	return &Service{
--- a/internal/peer/options.go
+++ b/internal/peer/options.go
@@ -71,6 +71,8 @@
 	HelloTimeout time.Duration // server: time allowed for the Hello to arrive
 	RedialDelay  time.Duration // after a failed dial; calls fail until it has passed
 	Dial         DialFunc
+	// Wrap replaces each connection, dialled or accepted; nil: none is.
+	Wrap func(net.Conn) net.Conn
 }
 
 // withDefaults returns o with zero values replaced by the defaults.
@@ -90,6 +92,9 @@
 	if o.RedialDelay <= 0 {
 		o.RedialDelay = DefaultRedialDelay
 	}
+	if o.Wrap == nil {
+		o.Wrap = func(c net.Conn) net.Conn { return c }
+	}
 	if o.Dial == nil {
 		var d net.Dialer
 		o.Dial = func(ctx context.Context, addr string) (net.Conn, error) {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -152,7 +152,7 @@
 	defer func() { _ = conn.Close() }()
 	s.trackConn(conn, true)
 	defer s.trackConn(conn, false)
-	mux, err := yamux.Server(&coalescingConn{Conn: conn}, yamuxConfig())
+	mux, err := yamux.Server(&coalescingConn{Conn: s.opts.Wrap(conn)}, yamuxConfig())
 	if err != nil {
 		return
 	}
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -65,7 +65,7 @@
 
 func openSession(conn net.Conn, o Options) (*session, error) {
 	s := &session{begin: time.Now(), done: make(chan struct{})}
-	tracked := &readNotifyConn{Conn: conn, onRead: s.markRead}
+	tracked := &readNotifyConn{Conn: o.Wrap(conn), onRead: s.markRead}
 	mux, err := yamux.Client(&coalescingConn{Conn: tracked}, yamuxConfig())
 	if err != nil {
 		return nil, err
--- a/internal/storerelay/read.go
+++ b/internal/storerelay/read.go
@@ -27,7 +27,9 @@
 	}
 	results := make(chan snapshotResult, 1)
 	go func() {
+		begin := time.Now()
 		c, err := s.store.Snapshot(ctx, prefix)
+		s.logLarge(sourceStore, prefix, c, begin)
 		results <- snapshotResult{c, err}
 	}()
 	var r snapshotResult
@@ -94,7 +96,9 @@
 		}
 		if s.allowPoll(prefix, time.Now()) {
 			s.setIndirect(prefix, false)
+			begin := time.Now()
 			c, err := s.store.Watch(ctx, prefix, from, firstWatchWait)
+			s.logLarge(sourceStore, prefix, c, begin)
 			s.recordResult(ctx, prefix, err)
 			return c, err
 		}
@@ -117,7 +121,9 @@
 	if s.setIndirect(prefix, false) {
 		wait = min(wait, firstWatchWait)
 	}
+	begin := time.Now()
 	c, err := s.store.Watch(ctx, prefix, req.GetAfter(), wait)
+	s.logLarge(sourceStore, prefix, c, begin)
 	s.recordResult(ctx, prefix, err)
 	if !isFailure(err) || ctx.Err() != nil {
 		return c, err
--- a/internal/storerelay/service.go
+++ b/internal/storerelay/service.go
@@ -123,11 +123,12 @@
 	server        *peer.Server
 }
 
-// New returns the relay service of the VM self in a fleet.
-func New(store Store, fleet string, self vmregistry.Node, log zerolog.Logger) *Service {
+// New returns the relay service of the VM self in a fleet. wrap replaces its connections
+// to other VMs; nil: it doesn't.
+func New(store Store, fleet string, self vmregistry.Node, wrap func(net.Conn) net.Conn, log zerolog.Logger) *Service {
 	o := peer.Options{
 		Self:    peer.Identity{Fleet: fleet, Node: self.Name, Zone: self.Zone, Role: peer.RoleControl, Incarnation: uint64(time.Now().UnixNano())},
-		Streams: 1, StallTimeout: stallTimeout,
+		Streams: 1, StallTimeout: stallTimeout, Wrap: wrap,
 	}
 	return &Service{
 		store: store, self: self, opts: o, pool: peer.NewPool(o), log: log,
@@ -254,10 +255,12 @@
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(req.GetWaitMs())*time.Millisecond+stallTimeout)
 	defer cancel()
 	env := &swpb.Envelope{Body: &swpb.Envelope_StoreRequest{StoreRequest: req}}
+	begin := time.Now()
 	reply, err := s.pool.Get(addr).Call(ctx, env)
 	if err != nil {
 		return nil, err
 	}
+	s.logLarge(addr, req.GetPrefix(), toChanges(reply.GetStoreReply()), begin)
 	return reply.GetStoreReply(), nil
 }
 
