--- a/internal/settings/fields.go
+++ b/internal/settings/fields.go
@@ -40,6 +40,7 @@
 	{"direct", "ready", "127.0.0.1:7031", "Address of sw-node at which the load balancer checks readiness, IP:port.", addr(func(s *Settings) *string { return &s.Direct.Ready })},
 	{"direct", "admin", "127.0.0.1:7032", "Address of /vars, /metrics, /live and /ready of sw-node, IP:port.", addr(func(s *Settings) *string { return &s.Direct.Admin })},
 	{"direct", "relay", "127.0.0.1:7033", "Address of sw-node at which other VMs read the store through it, IP:port.", addr(func(s *Settings) *string { return &s.Direct.Relay })},
+	{"direct", "relay-listen", "", "Address to listen on for other VMs, if it isn't that of [direct] relay, as behind a port that is forwarded: IP:port.", optionalAddr(func(s *Settings) *string { return &s.Direct.RelayListen })},
 	{"direct", "seeds", "", "Relay addresses of some VMs, used if the platform can't be reached at startup: IP:port, IP:port.", addrs(func(s *Settings) *[]string { return &s.Direct.Seeds })},
 	{"direct", "regions", "zone-1=region-1", "Region of each availability zone: zone=region, zone=region.", pairs(func(s *Settings) *map[string]string { return &s.Direct.Regions })},
 	{"direct", "cold-overage", "1", "Factor by which the fleet-wide rate limit of a cold replica is multiplied.", factor(func(s *Settings) *float64 { return &s.Direct.ColdOverage })},
@@ -77,6 +78,15 @@
 	return func(r *inifile.Reader, key, def string, s *Settings) { *target(s) = r.Addr(key, def) }
 }
 
+// optionalAddr reads an address, which may be empty.
+func optionalAddr(target func(*Settings) *string) readFunc {
+	return func(r *inifile.Reader, key, def string, s *Settings) {
+		if r.String(key, def) != "" {
+			*target(s) = r.Addr(key, def)
+		}
+	}
+}
+
 // addrs reads a comma-separated list of addresses, which may be empty.
 func addrs(target func(*Settings) *[]string) readFunc {
 	return func(r *inifile.Reader, key, _ string, s *Settings) {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -63,12 +63,14 @@
 
 // Direct configures sw-node.
 type Direct struct {
-	Listen  string            // HTTP from callers
-	Ready   string            // readiness, for the load balancer
-	Admin   string            // /vars, /metrics, /live and /ready
-	Relay   string            // for other VMs that read the store through this one
-	Seeds   []string          // relay addresses of other VMs
-	Regions map[string]string // region of each availability zone
+	Listen string // HTTP from callers
+	Ready  string // readiness, for the load balancer
+	Admin  string // /vars, /metrics, /live and /ready
+	Relay  string // for other VMs that read the store through this one
+	// RelayListen is what the VM listens on for other VMs; "": Relay.
+	RelayListen string
+	Seeds       []string          // relay addresses of other VMs
+	Regions     map[string]string // region of each availability zone
 	// ColdOverage and ColdSlack raise the fleet-wide limit on requests to a cold
 	// replica: its rate is multiplied by ColdOverage, and ColdSlack requests per
 	// second are added.
--- a/internal/storerelay/service.go
+++ b/internal/storerelay/service.go
@@ -89,6 +89,7 @@
 	opts  peer.Options
 	log   zerolog.Logger
 
+	listen  string   // address to listen on
 	seeds   []string // addresses of VMs to query while none is known
 	onNodes func(nodes []vmregistry.Node, all bool)
 	// onRolloutReport answers the reports of other VMs on rollouts.
@@ -131,7 +132,7 @@
 		Streams: 1, StallTimeout: stallTimeout, Wrap: wrap,
 	}
 	return &Service{
-		store: store, self: self, opts: o, pool: peer.NewPool(o), log: log,
+		listen: self.Addr, store: store, self: self, opts: o, pool: peer.NewPool(o), log: log,
 		mirrors: map[string]*Mirror{}, reader: true, retryAt: map[string]time.Time{}, indirect: map[string]bool{},
 		lastKnown: map[string]platform.Changes{}, authoritative: map[string]bool{}, lastPoll: map[string]time.Time{},
 		activePeer: map[string]string{}, nodesKnown: make(chan struct{}),
@@ -149,9 +150,9 @@
 
 // Start implements kernel.Service.
 func (s *Service) Start(context.Context, *kernel.Kernel) error {
-	ln, err := net.Listen("tcp", s.self.Addr)
+	ln, err := net.Listen("tcp", s.listen)
 	if err != nil {
-		return eris.Wrapf(err, "listen on [direct] relay = %s", s.self.Addr)
+		return eris.Wrapf(err, "listen for other VMs on %s, see [direct] relay and relay-listen", s.listen)
 	}
 	s.server = peer.Serve(ln, s.opts, peer.HandlerFunc(s.handle))
 	s.requestNodes(context.Background())
@@ -165,6 +166,10 @@
 	return nil
 }
 
+// ListenOn sets the address to listen on, if it isn't the one that other VMs use. It must
+// be called before Start.
+func (s *Service) ListenOn(addr string) { s.listen = addr }
+
 // Mirror returns the handler for the watch of a prefix. It passes everything on
 // to next and keeps the state for other VMs.
 func (s *Service) Mirror(prefix string, next storewatch.Handler) *Mirror {
