Send changes of the store between VMs as differences, compressed and in pieces

Cause: a relay sent each version whole to half of its zone, 8 to 15 MB over a link of 20 Mbit/s. Requests whose time left had been computed waited in the link behind it; so did the handshakes of new connections. The cost of a version grew with what there is and with the VMs, not with what changed.

Change: replies of some size are packed (difference to a value that the asking VM names, deflate) once for all that ask for the same; the asking VM reads them in pieces of 8 KB, of which 4 are on their way from a VM at a time; store calls have sessions of their own. A mirror keeps the last four large values and no longer all of them in its history. Old builds get and send entries whole.

--- a/internal/control/tablesync.go
+++ b/internal/control/tablesync.go
@@ -173,7 +173,7 @@
 	if !ok {
 		return nil
 	}
-	text, err := delta.Apply(kept.tables.Text, d)
+	text, err := delta.Apply(kept.tables.Text, d, delta.Lines)
 	if err != nil {
 		ts.setDeltaFailed(true)
 		return nil
--- a/internal/control/textcache.go
+++ b/internal/control/textcache.go
@@ -63,7 +63,7 @@
 	key := [2]uint64{from, to}
 	d, cached := t.deltas[key]
 	if !cached {
-		d = delta.Make(a.tables.Text, b.tables.Text)
+		d = delta.Make(a.tables.Text, b.tables.Text, delta.Lines)
 		t.deltas[key] = d
 	}
 	return d, len(d) < len(b.tables.Text)
--- a/internal/delta/delta.go
+++ b/internal/delta/delta.go
@@ -12,12 +12,19 @@
 // ErrBadDelta means that a delta is malformed or does not fit the old text.
 var ErrBadDelta = errors.New("delta: malformed, or made from a different text")
 
-// Make returns the delta from old to text. It is a sequence of entries, each with
-// the index of the first line to copy from old, the number of lines to copy, the
+// Separators that end the units of a text.
+const (
+	Lines   = '\n'
+	Objects = '}' // of JSON
+)
+
+// Make returns the delta from old to text, by the units that a separator ends, such as
+// lines. It is a sequence of entries, each with
+// the index of the first unit to copy from old, the number of units to copy, the
 // length of the new text that follows, and that text. The numbers are unsigned
 // varints. Make takes time linear in the size of both texts.
-func Make(old, text []byte) []byte {
-	oldLines := bytes.SplitAfter(old, []byte("\n"))
+func Make(old, text []byte, sep byte) []byte {
+	oldLines := bytes.SplitAfter(old, []byte{sep})
 	lineIndex := make(map[string]int, len(oldLines))
 	for i := len(oldLines) - 1; i >= 0; i-- {
 		lineIndex[string(oldLines[i])] = i
@@ -34,7 +41,7 @@
 		out = append(out, added...)
 		first, count, added = 0, 0, nil
 	}
-	for _, line := range bytes.SplitAfter(text, []byte("\n")) {
+	for _, line := range bytes.SplitAfter(text, []byte{sep}) {
 		next := first + count
 		if len(added) == 0 && count > 0 && next < len(oldLines) && bytes.Equal(oldLines[next], line) {
 			count++
@@ -52,11 +59,12 @@
 	return out
 }
 
-// Apply returns the text that results from applying delta to old. The caller must
+// Apply returns the text that results from applying delta to old, by the separator that
+// it was made with. The caller must
 // check the digest of the result, since a delta made from a different text may
 // apply without an error.
-func Apply(old, delta []byte) ([]byte, error) {
-	oldLines := bytes.SplitAfter(old, []byte("\n"))
+func Apply(old, delta []byte, sep byte) ([]byte, error) {
+	oldLines := bytes.SplitAfter(old, []byte{sep})
 	var out []byte
 	for len(delta) > 0 {
 		var header [3]uint64
--- a/internal/delta/delta_test.go
+++ b/internal/delta/delta_test.go
@@ -28,7 +28,7 @@
 				return b
 			})
 			from, to := text.Draw(t, "old"), text.Draw(t, "new")
-			got, err := delta.Apply(from, delta.Make(from, to))
+			got, err := delta.Apply(from, delta.Make(from, to, delta.Lines), delta.Lines)
 			if err != nil || !bytes.Equal(got, to) {
 				t.Fatalf("Apply returned %q, %v", got, err)
 			}
@@ -42,15 +42,15 @@
 		}
 		to := bytes.Replace(from, []byte("u77 = 10"), []byte("u77 = 11"), 1)
 		to = bytes.Replace(to, []byte("u9000 = 10"), []byte("u9000 = 11"), 1)
-		Expect(len(delta.Make(from, to))).To(BeNumerically("<", 200))
+		Expect(len(delta.Make(from, to, delta.Lines))).To(BeNumerically("<", 200))
 	})
 })
 
 func FuzzApply(f *testing.F) {
-	f.Add([]byte("a\nb\n"), delta.Make([]byte("a\nb\n"), []byte("b\nc\n")))
+	f.Add([]byte("a\nb\n"), delta.Make([]byte("a\nb\n"), []byte("b\nc\n"), delta.Lines))
 	f.Add([]byte("a\n"), []byte{0, 255, 255, 255, 255, 255, 255, 255, 255, 255, 1, 0})
 	f.Fuzz(func(_ *testing.T, old, d []byte) {
-		_, _ = delta.Apply(old, d)
+		_, _ = delta.Apply(old, d, delta.Lines)
 	})
 }
 
@@ -63,7 +63,7 @@
 			}
 			to := append([]byte("; new\n"), from...)
 			for range b.N {
-				delta.Make(from, to)
+				delta.Make(from, to, delta.Lines)
 			}
 		})
 	}
--- a/internal/storerelay/doc.go
+++ b/internal/storerelay/doc.go
@@ -12,7 +12,14 @@
 // starts during an outage of the store also uses the state that its peers had
 // before the outage.
 //
-// service.go has the relays, read.go the choice of the source, peers.go the
+// Entries of some size go from VM to VM as packs (package storepack): compressed, and of a
+// large value that the asking VM has an earlier version of only the difference. The asking
+// VM reads a pack in small pieces, one after the other, and only a few are on their way
+// from a VM at a time, so that requests of callers don't wait in its link behind them.
+// These calls have sessions of their own, so that short calls between VMs don't wait
+// either. A VM of a build without packs gets and sends its entries whole.
+//
+// service.go has the relays, pieces.go the packs, read.go the choice of the source, peers.go the
 // requests to peers, serve.go the replies to other VMs, and mirror.go the state
 // that is kept for these replies.
 //
--- a/internal/storerelay/log.go
+++ b/internal/storerelay/log.go
@@ -16,10 +16,7 @@
 // logLarge logs a large reply to a call that was made at begin. The time includes the
 // wait for a change.
 func (s *Service) logLarge(source, prefix string, c platform.Changes, begin time.Time) {
-	size := 0
-	for _, e := range c.Entries {
-		size += len(e.Value)
-	}
+	size := valueBytes(c.Entries)
 	if size >= loggedBytes {
 		s.log.Info().Str("kind", "relay").Str("source", source).Str("prefix", prefix).Uint64("store_revision", c.Revision).
 			Int("entries", len(c.Entries)).Int("bytes", size).Dur("took", time.Since(begin)).Msg("large state or change read")
--- a/internal/storerelay/mirror.go
+++ b/internal/storerelay/mirror.go
@@ -2,19 +2,26 @@
 
 import (
 	"context"
+	"slices"
 	"sort"
 	"sync"
 	"time"
 
 	"github.com/sapphirewall/sapphirewall/internal/decide/era"
 	"github.com/sapphirewall/sapphirewall/internal/platform"
+	"github.com/sapphirewall/sapphirewall/internal/storepack"
 	"github.com/sapphirewall/sapphirewall/internal/storewatch"
+	"github.com/sapphirewall/sapphirewall/proto/swpb"
 )
 
 // maxHistory bounds the changes that a mirror keeps: far more than are made
 // between two polls.
 const maxHistory = 4096
 
+// maxFormer bounds the former large values that a mirror keeps, from which other VMs get
+// only the differences to later ones.
+const maxFormer = 4
+
 // Mirror keeps the state and the recent changes of a watch for other VMs, and
 // passes them on to the next handler. It implements storewatch.Handler and
 // platform.Watcher, and is safe for concurrent use.
@@ -24,8 +31,9 @@
 	mu          sync.Mutex // guards the fields below
 	entries     map[string]platform.Entry
 	history     []platform.Entry
-	since       uint64 // history has all changes after this revision
-	revision    uint64 // 0: no state yet
+	former      []platform.Entry // large values that were replaced, the oldest one first
+	since       uint64           // history has all changes after this revision
+	revision    uint64           // 0: no state yet
 	unavailable bool
 	changed     chan struct{} // closed and replaced at each change
 }
@@ -38,6 +46,9 @@
 // Replace implements storewatch.Handler.
 func (m *Mirror) Replace(entries []platform.Entry, revision uint64) {
 	m.mu.Lock()
+	for _, e := range entries {
+		m.retire(e)
+	}
 	m.entries = make(map[string]platform.Entry, len(entries))
 	for _, e := range entries {
 		m.entries[e.Key] = e
@@ -56,6 +67,7 @@
 			continue
 		}
 		m.revision = e.Revision
+		m.retire(e)
 		m.history = append(m.history, e)
 		m.entries[e.Key] = e
 		if e.Deleted {
@@ -71,6 +83,47 @@
 	m.next.Apply(changes)
 }
 
+// retire keeps the value that an entry replaces, if it is large. It drops the value from
+// the history, in which only the last change of a key counts: else the history would hold
+// many large values. m.mu is held.
+func (m *Mirror) retire(e platform.Entry) {
+	old := m.entries[e.Key]
+	if len(old.Value) < storepack.LargeValue || old.Revision == e.Revision {
+		return
+	}
+	m.history = slices.DeleteFunc(m.history, func(h platform.Entry) bool { return h.Key == old.Key && h.Revision == old.Revision })
+	m.former = append(m.former, old)
+	if over := len(m.former) - maxFormer; over > 0 {
+		m.former = slices.Delete(m.former, 0, over)
+	}
+}
+
+// Value returns the value of a key at a revision, if it is large and still kept.
+func (m *Mirror) Value(key string, revision uint64) ([]byte, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, e := range append(m.former[:len(m.former):len(m.former)], m.entries[key]) {
+		if e.Key == key && e.Revision == revision && len(e.Value) >= storepack.LargeValue {
+			return e.Value, true
+		}
+	}
+	return nil, false
+}
+
+// bases returns the large values of the state.
+func (m *Mirror) bases() []*swpb.StoreBase {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []*swpb.StoreBase
+	for _, e := range m.entries {
+		if len(e.Value) >= storepack.LargeValue {
+			out = append(out, &swpb.StoreBase{Key: e.Key, Revision: e.Revision})
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Key < out[j].Key })
+	return out
+}
+
 // Unavailable implements storewatch.Handler.
 func (m *Mirror) Unavailable(err error) {
 	m.mu.Lock()
--- a/internal/storerelay/peers.go
+++ b/internal/storerelay/peers.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/sapphirewall/sapphirewall/internal/decide/ownership"
 	"github.com/sapphirewall/sapphirewall/internal/decide/relay"
 	"github.com/sapphirewall/sapphirewall/internal/platform"
@@ -97,9 +99,9 @@
 	s.mu.Unlock()
 	if active != "" && !req.GetSnapshot() {
 		s.setIndirect(req.GetPrefix(), true) // so that no probe ends the wait
-		reply, err := s.call(ctx, active, req)
+		reply, c, err := s.read(ctx, active, req)
 		if err == nil && hasStore(reply) {
-			return toReadResult(reply)
+			return toReadResult(reply, c)
 		}
 		s.setIndirect(req.GetPrefix(), false)
 		s.setActivePeer("", req.GetPrefix(), "peer no longer answers from the store")
@@ -107,20 +109,28 @@
 			return platform.Changes{}, ctx.Err(), false
 		}
 	}
-	addr, reply := s.queryPeers(ctx, &swpb.StoreRequest{Prefix: req.GetPrefix(), Snapshot: req.GetSnapshot(), After: req.GetAfter(), Recall: req.GetRecall()})
+	addr, reply := s.queryPeers(ctx, &swpb.StoreRequest{
+		Prefix: req.GetPrefix(), Snapshot: req.GetSnapshot(), After: req.GetAfter(), Recall: req.GetRecall(),
+		Packed: true, Bases: s.bases(req.GetPrefix()),
+	})
 	if reply == nil {
 		return platform.Changes{}, nil, false
 	}
 	s.reportNodes(reply.GetNodes())
+	c, err = s.unpack(ctx, addr, req.GetPrefix(), reply)
+	if err != nil {
+		s.log.Warn().Err(err).Str("kind", "relay").Str("neighbour", addr).Str("prefix", req.GetPrefix()).Msg("state of a peer can't be read")
+		return platform.Changes{}, nil, false
+	}
 	if !hasStore(reply) {
 		s.mu.Lock()
-		s.lastKnown[req.GetPrefix()] = toChanges(reply)
+		s.lastKnown[req.GetPrefix()] = c
 		s.mu.Unlock()
 		return platform.Changes{}, nil, false
 	}
 	s.setIndirect(req.GetPrefix(), true)
 	s.setActivePeer(addr, req.GetPrefix(), "store unavailable")
-	return toReadResult(reply)
+	return toReadResult(reply, c)
 }
 
 // queryPeers queries several peers at once. It returns the first reply from a
@@ -136,7 +146,7 @@
 	answers := make(chan answer, len(addrs))
 	for _, addr := range addrs {
 		go func() {
-			reply, err := s.call(ctx, addr, req)
+			reply, err := s.ask(ctx, addr, proto.CloneOf(req))
 			if err != nil {
 				s.log.Debug().Err(err).Str("neighbour", addr).Msg("peer did not answer a store request")
 			}
@@ -169,7 +179,7 @@
 		go func() {
 			ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 			defer cancel()
-			reply, err := s.call(ctx, addr, &swpb.StoreRequest{Snapshot: true, Asker: toNode(s.self)})
+			reply, err := s.ask(ctx, addr, &swpb.StoreRequest{Snapshot: true, Asker: toNode(s.self)})
 			if err != nil {
 				s.log.Debug().Err(err).Str("neighbour", addr).Msg("peer did not answer the request for the VMs that it knows")
 				return
@@ -184,12 +194,12 @@
 	return r.GetStatus() == swpb.StoreStatus_STORE_STATUS_OK || r.GetStatus() == swpb.StoreStatus_STORE_STATUS_COMPACTED
 }
 
-// toReadResult converts a reply for which hasStore is true.
-func toReadResult(r *swpb.StoreReply) (platform.Changes, error, bool) {
+// toReadResult returns what a reply means for which hasStore is true, with its changes.
+func toReadResult(r *swpb.StoreReply, c platform.Changes) (platform.Changes, error, bool) {
 	if r.GetStatus() == swpb.StoreStatus_STORE_STATUS_COMPACTED {
 		return platform.Changes{}, platform.ErrCompacted, true
 	}
-	return toChanges(r), nil, true
+	return c, nil, true
 }
 
 // reportNodes passes on the VMs of a peer's reply, or the sender of a request. A
--- a/internal/storerelay/relay_test.go
+++ b/internal/storerelay/relay_test.go
@@ -40,6 +40,8 @@
 	stalled      map[string]bool // VMs whose watch calls and probes get no answer
 	compacted    bool            // no history: a watch call that waits reports no change
 	changed      chan struct{}
+	// wrap replaces connections between VMs; nil: none are.
+	wrap func(net.Conn) net.Conn
 }
 
 func newStore() *store {
@@ -192,7 +194,7 @@
 	Expect(err).NotTo(HaveOccurred())
 	v := &vm{Node: vmregistry.Node{Name: name, Zone: zone, Addr: ln.Addr().String()}}
 	Expect(ln.Close()).To(Succeed())
-	v.service = storerelay.New(vmStore{st, v.Name}, "fleet", v.Node, nil, zerolog.New(GinkgoWriter))
+	v.service = storerelay.New(vmStore{st, v.Name}, "fleet", v.Node, st.wrap, zerolog.New(GinkgoWriter))
 	prepare(v)
 	Expect(v.service.Start(context.Background(), nil)).To(Succeed())
 	return v
--- a/internal/storerelay/serve.go
+++ b/internal/storerelay/serve.go
@@ -26,6 +26,9 @@
 	if x := env.GetLimitExchange(); x != nil && s.onLimits != nil {
 		return &swpb.Envelope{Body: &swpb.Envelope_LimitExchange{LimitExchange: s.onLimits(x)}}, nil
 	}
+	if r := env.GetStorePieceRequest(); r != nil {
+		return &swpb.Envelope{Body: &swpb.Envelope_StorePiece{StorePiece: s.pieceOf(ctx, from.Node, r)}}, nil
+	}
 	req := env.GetStoreRequest()
 	s.mu.Lock()
 	m := s.mirrors[req.GetPrefix()]
@@ -39,6 +42,9 @@
 	if m != nil && reply.GetStatus() == swpb.StoreStatus_STORE_STATUS_NO_RELAY && req.GetRecall() {
 		reply = lastKnownReply(m)
 	}
+	if m != nil {
+		s.packReply(ctx, from.Node, m, req, reply)
+	}
 	if req.GetSnapshot() {
 		s.reportNodes([]*swpb.StoreNode{req.GetAsker()})
 		for _, n := range append(nodes, s.self) {
--- a/internal/storerelay/service.go
+++ b/internal/storerelay/service.go
@@ -2,18 +2,21 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/sapphirewall/sapphirewall/internal/decide/ownership"
 	"github.com/sapphirewall/sapphirewall/internal/decide/relay"
 	"github.com/sapphirewall/sapphirewall/internal/kernel"
 	"github.com/sapphirewall/sapphirewall/internal/peer"
 	"github.com/sapphirewall/sapphirewall/internal/platform"
+	"github.com/sapphirewall/sapphirewall/internal/storepack"
 	"github.com/sapphirewall/sapphirewall/internal/storewatch"
 	"github.com/sapphirewall/sapphirewall/internal/vmregistry"
 	"github.com/sapphirewall/sapphirewall/proto/swpb"
@@ -85,7 +88,8 @@
 type Service struct {
 	store Store
 	self  vmregistry.Node
-	pool  *peer.Pool
+	pool  *peer.Pool // for short calls
+	bulk  *peer.Pool // for what is read from the store, of any size
 	opts  peer.Options
 	log   zerolog.Logger
 
@@ -99,6 +103,9 @@
 	// onCall answers calls of other kinds.
 	onCall func(ctx context.Context, from peer.Identity, env *swpb.Envelope) *swpb.Envelope
 
+	packs     storepack.Cache
+	transfers *transfers
+
 	mu          sync.Mutex // guards the fields below
 	mirrors     map[string]*Mirror
 	reader      bool                 // this VM reads the store
@@ -132,7 +139,7 @@
 		Streams: 1, StallTimeout: stallTimeout, Wrap: wrap,
 	}
 	return &Service{
-		listen: self.Addr, store: store, self: self, opts: o, pool: peer.NewPool(o), log: log,
+		listen: self.Addr, store: store, self: self, opts: o, pool: peer.NewPool(o), bulk: peer.NewPool(o), transfers: newTransfers(), log: log,
 		mirrors: map[string]*Mirror{}, reader: true, retryAt: map[string]time.Time{}, indirect: map[string]bool{},
 		lastKnown: map[string]platform.Changes{}, authoritative: map[string]bool{}, lastPoll: map[string]time.Time{},
 		activePeer: map[string]string{}, nodesKnown: make(chan struct{}),
@@ -162,6 +169,7 @@
 // Stop implements kernel.Service.
 func (s *Service) Stop(context.Context) error {
 	s.pool.Close()
+	s.bulk.Close()
 	s.server.Close()
 	return nil
 }
@@ -233,14 +241,14 @@
 // false if none does, or if this VM reads the store itself.
 func (s *Service) readFromRelays(ctx context.Context, req *swpb.StoreRequest) (c platform.Changes, err error, ok bool) {
 	for _, addr := range s.availableRelays(time.Now()) {
-		reply, err := s.call(ctx, addr, req)
+		reply, c, err := s.read(ctx, addr, req)
 		if ctx.Err() != nil {
 			return platform.Changes{}, ctx.Err(), true
 		}
 		switch {
 		case err == nil && reply.GetStatus() == swpb.StoreStatus_STORE_STATUS_OK:
 			s.clearBackoff(addr)
-			return toChanges(reply), nil, true
+			return c, nil, true
 		case err == nil && reply.GetStatus() == swpb.StoreStatus_STORE_STATUS_COMPACTED:
 			return platform.Changes{}, platform.ErrCompacted, true
 		}
@@ -256,16 +264,48 @@
 	delete(s.retryAt, addr)
 }
 
-func (s *Service) call(ctx context.Context, addr string, req *swpb.StoreRequest) (*swpb.StoreReply, error) {
+// read sends a request to another VM and returns its reply with the changes in it. What
+// can't be unpacked is read again whole.
+func (s *Service) read(ctx context.Context, addr string, req *swpb.StoreRequest) (*swpb.StoreReply, platform.Changes, error) {
+	begin := time.Now()
+	packed := proto.CloneOf(req)
+	packed.Packed, packed.Bases = true, s.bases(req.GetPrefix())
+	reply, err := s.ask(ctx, addr, packed)
+	if err != nil {
+		return nil, platform.Changes{}, err
+	}
+	c, err := s.unpack(ctx, addr, req.GetPrefix(), reply)
+	if errors.Is(err, storepack.ErrInvalid) {
+		s.log.Warn().Err(err).Str("kind", "relay").Str("relay", addr).Str("prefix", req.GetPrefix()).Msg("packed changes can't be used; reading them whole")
+		whole := proto.CloneOf(req)
+		whole.WaitMs = 0
+		if reply, err = s.ask(ctx, addr, whole); err == nil {
+			c = toChanges(reply)
+		}
+	}
+	s.logLarge(addr, req.GetPrefix(), c, begin)
+	return reply, c, err
+}
+
+// bases returns the large values that this VM has under a prefix.
+func (s *Service) bases(prefix string) []*swpb.StoreBase {
+	s.mu.Lock()
+	m := s.mirrors[prefix]
+	s.mu.Unlock()
+	if m == nil {
+		return nil
+	}
+	return m.bases()
+}
+
+func (s *Service) ask(ctx context.Context, addr string, req *swpb.StoreRequest) (*swpb.StoreReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(req.GetWaitMs())*time.Millisecond+stallTimeout)
 	defer cancel()
 	env := &swpb.Envelope{Body: &swpb.Envelope_StoreRequest{StoreRequest: req}}
-	begin := time.Now()
-	reply, err := s.pool.Get(addr).Call(ctx, env)
+	reply, err := s.bulk.Get(addr).Call(ctx, env)
 	if err != nil {
 		return nil, err
 	}
-	s.logLarge(addr, req.GetPrefix(), toChanges(reply.GetStoreReply()), begin)
 	return reply.GetStoreReply(), nil
 }
 
