Let no ended watch end a probe of the store that others wait for

What callers saw: CONFIG and DENIED while configurations grow, VMs that refused routes of the current version for up to 10 s, 0.2 GB between regions.

Cause: the watches of all prefixes share the probes of the store, and a probe ran with the context of the watch that asked first. When that watch returned with a change, its context ended, the probe under way failed, and the relay took the store for unavailable: it answered its zone 'no current state', and the zone's VMs read whole states from VMs of other regions and from the store.

Class: a caller's cancellation taken for a failure of what it called. The other results of shared calls (recordResult) leave cancelled calls out already.

A probe now ends by its own timeout only.

--- a/internal/storerelay/read.go
+++ b/internal/storerelay/read.go
@@ -210,7 +210,8 @@
 	if time.Since(s.probedAt) < interval {
 		return s.probeErr
 	}
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	// The watch that asks first may end meanwhile, which shows nothing about the store.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeTimeout)
 	defer cancel()
 	s.probeErr, s.probedAt = s.store.Probe(ctx), time.Now()
 	s.mu.Lock()
--- a/internal/storerelay/relay_test.go
+++ b/internal/storerelay/relay_test.go
@@ -40,6 +40,7 @@
 	stalled      map[string]bool // VMs whose watch calls and probes get no answer
 	compacted    bool            // no history: a watch call that waits reports no change
 	changed      chan struct{}
+	probeTime    time.Duration // of a probe
 	// wrap replaces connections between VMs; nil: none are.
 	wrap func(net.Conn) net.Conn
 }
@@ -94,7 +95,15 @@
 }
 
 // Probe fails for a VM that is disconnected or that the store does not answer.
-func (s vmStore) Probe(context.Context) error {
+func (s vmStore) Probe(ctx context.Context) error {
+	s.mu.Lock()
+	took := s.probeTime
+	s.mu.Unlock()
+	select {
+	case <-time.After(took):
+	case <-ctx.Done():
+		return platform.ErrUnavailable
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls++
@@ -168,6 +177,7 @@
 	service *storerelay.Service
 	mu      sync.Mutex
 	value   string
+	outages int // of the store, as the watch saw them
 }
 
 func (v *vm) Replace(entries []platform.Entry, _ uint64) { v.Apply(entries) }
@@ -179,8 +189,14 @@
 		v.value = string(e.Value)
 	}
 }
-func (v *vm) Unavailable(error) {}
-func (v *vm) Available()        {}
+
+func (v *vm) Unavailable(error) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.outages++
+}
+
+func (v *vm) Available() {}
 
 func (v *vm) get() string {
 	v.mu.Lock()
