--- a/internal/direct/upstreams.go
+++ b/internal/direct/upstreams.go
@@ -52,13 +52,14 @@
 // the one in force, so that a process never goes back to an older one.
 func (s *Service) SetTables(t *tables.Tables) {
 	now := time.Now()
+	index := routes.New(t.Routes) // before the lock that requests take
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.inForce != nil && t.Revision <= s.inForce.tables.Revision {
 		s.log.Info("tables").Uint64("revision", t.Revision).Uint64("in_force", s.inForce.tables.Revision).Msg("tables ignored; revision is not newer than the one in force")
 		return
 	}
-	s.inForce = &tablesRevision{tables: t, index: routes.New(t.Routes), since: now}
+	s.inForce = &tablesRevision{tables: t, index: index, since: now}
 	for name := range s.routes {
 		if t.Routes[name] == nil {
 			delete(s.routes, name)
