Read the next changes from a relay without a pause

Cause: a watch pauses after changes so that the next call to the store returns several. A VM that reads through a relay paused as well, though its polls are cheap and the relay's own pause has already put changes together.

--- a/internal/storerelay/read.go
+++ b/internal/storerelay/read.go
@@ -180,6 +180,14 @@
 // ProbeEvery implements storewatch.Prober.
 func (s *Service) ProbeEvery() time.Duration { return probeInterval }
 
+// Coalesces implements storewatch.Coalescer: the VM that a prefix is read through pauses
+// between two calls to the store, and polls of it are cheap.
+func (s *Service) Coalesces(prefix string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.indirect[prefix]
+}
+
 // Probe implements storewatch.Prober. The watches of all prefixes share the
 // probes; a prefix that is read through another VM needs none. The history that a
 // watch waits in counts as compacted when the probe finds the store in a later era.
--- a/internal/storewatch/watch.go
+++ b/internal/storewatch/watch.go
@@ -58,6 +58,13 @@
 	ProbeEvery() time.Duration
 }
 
+// Coalescer is a store that may itself return changes together, so that there is no need
+// to wait for more of them between two calls.
+type Coalescer interface {
+	// Coalesces reports whether the last call for a prefix was answered that way.
+	Coalesces(prefix string) bool
+}
+
 // Fallback is a store that may return an earlier state while it can't be read.
 type Fallback interface {
 	// LastKnown returns all entries of a prefix as of some revision, if the last
@@ -105,13 +112,19 @@
 		if now.Sub(begin) > settle {
 			settle = minSettle
 		}
-		if changed {
+		if changed && !w.coalesced() {
 			sleep(ctx, settle)
 			settle = min(2*settle, maxSettle)
 		}
 	}
 }
 
+// coalesced reports whether the changes of the last call came together.
+func (w *Watch) coalesced() bool {
+	c, ok := w.store.(Coalescer)
+	return ok && c.Coalesces(w.prefix)
+}
+
 // step makes one call to the store; changed reports whether it returned changes.
 func (w *Watch) step(ctx context.Context) (changed bool, err error) {
 	if w.revision == 0 {
