Let a caller's time begin when its request came in, not when it was read

What callers saw: replicas were handed more time than the callers had left, by as long as their requests waited unread.

Cause: callerhttp stamped a request when its last byte had been read.

Class: a clock that starts where the program first sees something, not where it begins. The same in handover: a VM that serves a request of another one counted its age from when it read the frame.

Change: the time of arrival is the kernel's (TCP_INFO, time since the last received bytes). A network stack may leave that field empty, so it is believed once it has been seen to move; until then a request that is read after a lag of the process's own ticks has its time cut by the longest that it may have waited (decide/lag), at most by half. Nothing is withheld otherwise.

--- a/internal/callerhttp/conn.go
+++ b/internal/callerhttp/conn.go
@@ -9,8 +9,6 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
-
-	"github.com/sapphirewall/sapphirewall/internal/sockstat"
 )
 
 // conn is one caller's connection. One goroutine reads requests and another
@@ -29,8 +27,9 @@
 type received struct {
 	request *fasthttp.Request
 	arrived time.Time
-	waited  time.Duration // of its last byte, unread
-	status  int
+	// waited and uncertain are those of Exchange.
+	waited, uncertain time.Duration
+	status            int
 }
 
 func newConn(s *Server, nc net.Conn) *conn {
@@ -90,8 +89,9 @@
 		return refusal(err)
 	}
 	c.setReadDeadline(0)
-	waited, _ := sockstat.SinceReceived(c.nc)
-	return &received{request: req, arrived: time.Now(), waited: waited}
+	in := &received{request: req}
+	in.arrived, in.waited, in.uncertain = c.server.arrivals.of(c.nc)
+	return in
 }
 
 // setReadDeadline sets the time limit of the next read; 0 is none. The deadline of a
@@ -169,7 +169,11 @@
 		return false
 	}
 	defer fasthttp.ReleaseRequest(in.request)
-	c.server.handler(&Exchange{Request: in.request, Response: resp, Arrived: in.arrived, Waited: in.waited, Disconnected: c.disconnected, Terminating: c.server.terminating})
+	c.server.handler(&Exchange{
+		Request: in.request, Response: resp, Arrived: in.arrived, Waited: in.waited, Uncertain: in.uncertain,
+		Disconnected: c.disconnected, Terminating: c.server.terminating,
+	})
+	c.server.arrivals.prove(c.nc, in.arrived)
 	if in.request.Header.IsHead() {
 		resp.SkipBody = true
 	}
--- a/internal/callerhttp/server.go
+++ b/internal/callerhttp/server.go
@@ -15,8 +15,9 @@
 type Exchange struct {
 	Request      *fasthttp.Request
 	Response     *fasthttp.Response
-	Arrived      time.Time       // when its last byte was read
-	Waited       time.Duration   // how long that byte was unread; 0: not known
+	Arrived      time.Time       // when its last byte came in, as far as is known
+	Waited       time.Duration   // how long that byte was unread, as far as the kernel tells
+	Uncertain    time.Duration   // by how much it may have come in before Arrived
 	Disconnected <-chan struct{} // closed when the caller has disconnected
 	Terminating  <-chan struct{} // closed when the process is about to end: answer at once
 }
@@ -50,6 +51,7 @@
 	draining    atomic.Bool
 	active      atomic.Int64 // requests read and not yet answered
 	terminating chan struct{}
+	arrivals    arrivals
 
 	mu       sync.Mutex // guards ln, conns and shutDown
 	ln       net.Listener
@@ -68,6 +70,10 @@
 // to new connections only.
 func (s *Server) SetLimits(l Limits) { s.limits.Store(&l) }
 
+// SetStalled sets the function that returns how long something that is handled now may
+// have waited for the process. It must be called before Listen.
+func (s *Server) SetStalled(fn func(now time.Time) time.Duration) { s.arrivals.stalled = fn }
+
 // Active returns the number of requests that were read and not yet answered.
 func (s *Server) Active() int { return int(s.active.Load()) }
 
--- a/internal/direct/log.go
+++ b/internal/direct/log.go
@@ -106,6 +106,9 @@
 	if c.req.Waited > 0 {
 		e = e.Dur("waited", c.req.Waited)
 	}
+	if c.req.Uncertain > 0 {
+		e = e.Dur("uncertain", c.req.Uncertain)
+	}
 	if c.queued > 0 {
 		e = e.Int("queued", c.queued)
 	}
--- a/internal/direct/request.go
+++ b/internal/direct/request.go
@@ -13,7 +13,8 @@
 	Path         string        // of Target, without the query
 	Budget       time.Duration // how long the caller waits for the answer; 0: not stated
 	Arrived      time.Time
-	Waited       time.Duration   // how long the request was unread before; 0: not known
+	Waited       time.Duration   // how long the request was unread, as far as is known
+	Uncertain    time.Duration   // by how much it may have come in before Arrived
 	Disconnected <-chan struct{} // closed when the caller has disconnected
 	Terminating  <-chan struct{} // closed when the process has to end
 	// Leave is closed when the VM is cut off from the replicas and another one can serve
@@ -24,6 +25,20 @@
 	MaxAttempts int
 }
 
+// maxUncertainShare is the most of a caller's time that may be withheld for what isn't
+// known of the time that has passed.
+const maxUncertainShare = 0.5
+
+// Limit returns how long after Arrived the request may take on a route with a deadline, so
+// that the caller gets the answer while it waits.
+func (r *Request) Limit(deadline time.Duration) time.Duration {
+	if r.Budget <= 0 {
+		return deadline
+	}
+	uncertain := min(r.Uncertain, time.Duration(maxUncertainShare*float64(r.Budget)))
+	return min(deadline, r.Budget-uncertain-budgetMargin)
+}
+
 // Answer is what the caller gets. Exactly one of Reply, Gathered, Refusal and HandOver
 // is set.
 type Answer struct {
--- a/internal/direct/serve.go
+++ b/internal/direct/serve.go
@@ -112,10 +112,7 @@
 	if after, poisoned := s.suspects.Refuse(req.Arrived, c.fingerprint); poisoned {
 		return c, verdict.New(verdict.NotRun, verdict.Poison, "requests like this one crash upstreams").WithRetryAfter(after)
 	}
-	limit := route.Deadline
-	if req.Budget > 0 {
-		limit = min(limit, req.Budget-budgetMargin)
-	}
+	limit := req.Limit(route.Deadline)
 	if limit < minBudget {
 		return c, verdict.Newf(verdict.NotRun, verdict.Deadline, "%d ms are too short for an answer", req.Budget.Milliseconds()).WithRetryAfter(jitter(retryNotReady))
 	}
--- a/internal/direct/service.go
+++ b/internal/direct/service.go
@@ -12,6 +12,7 @@
 
 	"github.com/sapphirewall/sapphirewall/internal/connpool"
 	"github.com/sapphirewall/sapphirewall/internal/decide/discovery"
+	"github.com/sapphirewall/sapphirewall/internal/decide/lag"
 	"github.com/sapphirewall/sapphirewall/internal/decide/reach"
 	"github.com/sapphirewall/sapphirewall/internal/decide/retry"
 	"github.com/sapphirewall/sapphirewall/internal/decide/upstreamlimit"
@@ -51,6 +52,9 @@
 
 	startedAt time.Time // of the process
 
+	lagMu sync.Mutex // guards lag
+	lag   *lag.Tracker
+
 	mu                sync.Mutex      // guards the fields up to unavailableSince
 	inForce           *tablesRevision // nil: no tables yet
 	upstreams         *discovery.Machine
@@ -84,8 +88,8 @@
 		o.StartedAt = time.Now()
 	}
 	return &Service{
-		startedAt: o.StartedAt,
-		opts:      o, log: telemetry.NewRateLimitedLogger(log), metrics: newMetrics(),
+		startedAt: o.StartedAt, lag: lag.New(sweepInterval),
+		opts: o, log: telemetry.NewRateLimitedLogger(log), metrics: newMetrics(),
 		upstreams: discovery.New(), zones: zonehold.New(), zonesOutOfService: map[string]bool{}, replicas: map[string]*replica{}, limits: map[incarnation]*upstreamlimit.Limit{},
 		pools: map[string]*pool{}, routes: map[string]*routeStats{},
 		suspects: suspects.NewBoard(),
--- a/internal/direct/waits.go
+++ b/internal/direct/waits.go
@@ -19,10 +19,21 @@
 	return s.opts.Queued()
 }
 
+// Stalled returns how long something that is handled now may have waited for the process.
+func (s *Service) Stalled(now time.Time) time.Duration {
+	s.lagMu.Lock()
+	defer s.lagMu.Unlock()
+	return s.lag.Wait(now)
+}
+
 // observeWaits records how late a tick that was due at a time is handled, and what waits
 // in the VM's link. Both make requests late without a sign at the requests themselves.
 func (s *Service) observeWaits(due time.Time) {
-	lag, queued := time.Since(due), s.queued()
+	now := time.Now()
+	lag, queued := now.Sub(due), s.queued()
+	s.lagMu.Lock()
+	s.lag.Tick(now)
+	s.lagMu.Unlock()
 	s.metrics.observe("lag", lag)
 	if lag >= loggedLag {
 		s.log.Warn("waits").Dur("lag", lag).Msg("goroutines wait for the processor; requests are read and sent late")
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -80,6 +80,8 @@
 
 func (t *tier) ProbeCut(context.Context) {}
 
+func (t *tier) Stalled(time.Time) time.Duration { return 0 }
+
 func (t *tier) StartHandover(*direct.Request, string) func(string) { return func(string) {} }
 
 func (t *tier) requests() []*direct.Request {
--- a/internal/handover/help.go
+++ b/internal/handover/help.go
@@ -46,7 +46,9 @@
 // Help serves a request of another VM. It isn't handed on: if this VM loses the replicas
 // meanwhile, it goes back to the other one.
 func (s *Service) Help(ctx context.Context, from string, r *swpb.HandoverRequest) *swpb.HandoverReply {
-	req := fromProto(time.Now(), r)
+	now := time.Now()
+	req := fromProto(now, r)
+	req.Uncertain = s.tier.Stalled(now)
 	req.Path, _, _ = strings.Cut(req.Target, "?")
 	req.Disconnected = ctx.Done()
 	if v := s.admit(req); v != nil {
--- a/internal/handover/serve.go
+++ b/internal/handover/serve.go
@@ -15,8 +15,6 @@
 	// maxHelpers is the number of VMs that a request is handed over to, one after the
 	// other, while it is known not to have run.
 	maxHelpers = 3
-	// budgetMargin is how long before the end of its time a caller gets an answer.
-	budgetMargin = 25 * time.Millisecond
 )
 
 // Serve answers a caller's request.
@@ -155,11 +153,7 @@
 
 // deadline is when the caller has to have an answer.
 func (s *Service) deadline(req *direct.Request, need *direct.Need) time.Time {
-	limit := need.Deadline
-	if req.Budget > 0 {
-		limit = min(limit, req.Budget-budgetMargin)
-	}
-	return req.Arrived.Add(limit)
+	return req.Arrived.Add(req.Limit(need.Deadline))
 }
 
 // contextOf returns a context that ends at the deadline, or when the caller has left or
--- a/internal/handover/service.go
+++ b/internal/handover/service.go
@@ -46,6 +46,9 @@
 	NeedOf(req *direct.Request) (direct.Need, bool)
 	Priority(req *direct.Request) (priority, most int)
 	ProbeCut(ctx context.Context)
+	// Stalled returns how long something that is handled now may have waited for the
+	// process.
+	Stalled(now time.Time) time.Duration
 	StartHandover(req *direct.Request, vm string) (end func(outcome string))
 }
 
--- a/internal/handover/wire.go
+++ b/internal/handover/wire.go
@@ -14,7 +14,7 @@
 func toProto(req *direct.Request, age time.Duration, maxAttempts int) *swpb.HandoverRequest {
 	return &swpb.HandoverRequest{
 		RequestId: req.ID, Method: req.Method, Host: req.Host, Target: req.Target, Header: toFields(req.Header), Body: req.Body,
-		BudgetUs: uint64(req.Budget / time.Microsecond), AgeUs: uint64(age / time.Microsecond), MaxAttempts: uint32(maxAttempts),
+		BudgetUs: uint64(req.Budget / time.Microsecond), AgeUs: uint64((age + req.Uncertain) / time.Microsecond), MaxAttempts: uint32(maxAttempts),
 	}
 }
 
