Bound what a VM reads from the store and sends to others by the rate of its link

What callers saw: over links of a few Mbit/s, replicas were still handed up to 0.4 s more than the callers had left while a version came in.

Cause: a connection to the store may have a receive window of data on its way (64 KB and more), and pieces of packs 32 KB: 131 and 65 ms of 4 Mbit/s. What a caller sends waits behind it in the link, and the VM can't see that.

A version of 1 MB takes 1.36 MB of a relay's link, so 2.7 s of 4 Mbit/s and 5.4 s of 2 Mbit/s: nothing here changes that.

--- a/internal/platform/transport.go
+++ b/internal/platform/transport.go
@@ -32,6 +32,7 @@
 	host        *fasthttp.HostClient
 	timeout     time.Duration
 	calls       atomic.Uint64
+	buffer      int // receive buffer of connections, in bytes; 0: the system's
 	decodeError func(status int, body []byte) error
 }
 
@@ -41,25 +42,36 @@
 // such error means that a write was not applied.
 func NewTransport(addr string, timeout time.Duration, decodeError func(status int, body []byte) error) *Transport {
 	dialer := &net.Dialer{Timeout: timeout, KeepAliveConfig: keepAlive}
-	return &Transport{
-		timeout: timeout, decodeError: decodeError,
-		host: &fasthttp.HostClient{
-			Addr: addr,
-			Dial: func(addr string) (net.Conn, error) {
-				c, err := dialer.Dial("tcp", addr)
-				if err != nil {
-					return nil, &dialError{err}
-				}
-				return c, nil
-			},
-			MaxConns:                  maxConns,
-			MaxIdleConnDuration:       idleTimeout,
-			MaxIdemponentCallAttempts: 1,
-			RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-			MaxResponseBodySize:       maxReplyBytes,
-			NoDefaultUserAgentHeader:  true,
+	t := &Transport{timeout: timeout, decodeError: decodeError}
+	t.host = &fasthttp.HostClient{
+		Addr: addr,
+		Dial: func(addr string) (net.Conn, error) {
+			c, err := dialer.Dial("tcp", addr)
+			if err != nil {
+				return nil, &dialError{err}
+			}
+			return c, t.limitBuffer(c)
 		},
+		MaxConns:                  maxConns,
+		MaxIdleConnDuration:       idleTimeout,
+		MaxIdemponentCallAttempts: 1,
+		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+		MaxResponseBodySize:       maxReplyBytes,
+		NoDefaultUserAgentHeader:  true,
 	}
+	return t
+}
+
+// SetReceiveBuffer bounds what of a reply is on its way at a time, so that a large one
+// doesn't hold up other connections in the link. It must be called before the first call.
+func (t *Transport) SetReceiveBuffer(bytes int) { t.buffer = bytes }
+
+func (t *Transport) limitBuffer(c net.Conn) error {
+	tcp, ok := c.(*net.TCPConn)
+	if !ok || t.buffer == 0 {
+		return nil
+	}
+	return tcp.SetReadBuffer(t.buffer)
 }
 
 // Calls returns the number of calls made so far.
--- a/internal/settings/fields.go
+++ b/internal/settings/fields.go
@@ -41,6 +41,7 @@
 	{"direct", "admin", "127.0.0.1:7032", "Address of /vars, /metrics, /live and /ready of sw-node, IP:port.", addr(func(s *Settings) *string { return &s.Direct.Admin })},
 	{"direct", "relay", "127.0.0.1:7033", "Address of sw-node at which other VMs read the store through it, IP:port.", addr(func(s *Settings) *string { return &s.Direct.Relay })},
 	{"direct", "relay-listen", "", "Address to listen on for other VMs, if it isn't that of [direct] relay, as behind a port that is forwarded: IP:port.", optionalAddr(func(s *Settings) *string { return &s.Direct.RelayListen })},
+	{"direct", "link-rate", "0", "Rate of the VM's own link in Mbit/s; 0: not known. It bounds what may wait in the link.", factor(func(s *Settings) *float64 { return &s.Direct.LinkRate })},
 	{"direct", "seeds", "", "Relay addresses of some VMs, used if the platform can't be reached at startup: IP:port, IP:port.", addrs(func(s *Settings) *[]string { return &s.Direct.Seeds })},
 	{"direct", "regions", "zone-1=region-1", "Region of each availability zone: zone=region, zone=region.", pairs(func(s *Settings) *map[string]string { return &s.Direct.Regions })},
 	{"direct", "cold-overage", "1", "Factor by which the fleet-wide rate limit of a cold replica is multiplied.", factor(func(s *Settings) *float64 { return &s.Direct.ColdOverage })},
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -69,6 +69,7 @@
 	Relay  string // for other VMs that read the store through this one
 	// RelayListen is what the VM listens on for other VMs; "": Relay.
 	RelayListen string
+	LinkRate    float64           // of the VM's own link, in Mbit/s; 0: not known
 	Seeds       []string          // relay addresses of other VMs
 	Regions     map[string]string // region of each availability zone
 	// ColdOverage and ColdSlack raise the fleet-wide limit on requests to a cold
--- a/internal/storerelay/pieces.go
+++ b/internal/storerelay/pieces.go
@@ -18,7 +18,7 @@
 const (
 	// pieceBytes takes 3 ms of a link of 20 Mbit/s, and 33 ms of one of 2 Mbit/s.
 	pieceBytes = 8 << 10
-	// maxPieces is the number of pieces that are on their way at a time.
+	// maxPieces is the most pieces that are on their way at a time.
 	maxPieces = 4
 	// pieceTimeout is how long a piece counts as on its way if its arrival isn't heard of.
 	pieceTimeout = 200 * time.Millisecond
@@ -38,8 +38,14 @@
 	timeout time.Duration
 }
 
-func newTransfers() *transfers {
-	return &transfers{slots: semaphore.NewWeighted(maxPieces), onWay: map[string]*time.Timer{}, timeout: pieceTimeout}
+// newTransfers returns the transfers over a link on which so many bytes may be on their
+// way; 0: not known.
+func newTransfers(window int) *transfers {
+	pieces := maxPieces
+	if window > 0 {
+		pieces = min(max(window/pieceBytes, 1), maxPieces)
+	}
+	return &transfers{slots: semaphore.NewWeighted(int64(pieces)), onWay: map[string]*time.Timer{}, timeout: pieceTimeout}
 }
 
 // begin waits until a piece may be sent to a VM. Its former piece has arrived.
--- a/internal/storerelay/pieces_test.go
+++ b/internal/storerelay/pieces_test.go
@@ -19,7 +19,7 @@
 // link together.
 func TestPiecesOnTheirWayAreBounded(t *testing.T) {
 	g := NewWithT(t)
-	tr := newTransfers()
+	tr := newTransfers(0)
 	tr.timeout = time.Minute
 	for _, vm := range []string{"a", "b", "c", "d"} {
 		g.Expect(tryBegin(tr, vm, time.Second)).To(BeTrue())
@@ -34,7 +34,7 @@
 // TestPieceOfAVMThatIsGone guards against VMs that take up the slots of others.
 func TestPieceOfAVMThatIsGone(t *testing.T) {
 	g := NewWithT(t)
-	tr := newTransfers()
+	tr := newTransfers(0)
 	tr.timeout = 10 * time.Millisecond
 	for _, vm := range []string{"a", "b", "c", "d", "e", "f", "g"} {
 		g.Expect(tryBegin(tr, vm, time.Second)).To(BeTrue())
--- a/internal/storerelay/relay_test.go
+++ b/internal/storerelay/relay_test.go
@@ -210,7 +210,7 @@
 	Expect(err).NotTo(HaveOccurred())
 	v := &vm{Node: vmregistry.Node{Name: name, Zone: zone, Addr: ln.Addr().String()}}
 	Expect(ln.Close()).To(Succeed())
-	v.service = storerelay.New(vmStore{st, v.Name}, "fleet", v.Node, st.wrap, zerolog.New(GinkgoWriter))
+	v.service = storerelay.New(vmStore{st, v.Name}, "fleet", v.Node, storerelay.Link{Wrap: st.wrap}, zerolog.New(GinkgoWriter))
 	prepare(v)
 	Expect(v.service.Start(context.Background(), nil)).To(Succeed())
 	return v
--- a/internal/storerelay/service.go
+++ b/internal/storerelay/service.go
@@ -131,15 +131,20 @@
 	server        *peer.Server
 }
 
-// New returns the relay service of the VM self in a fleet. wrap replaces its connections
-// to other VMs; nil: it doesn't.
-func New(store Store, fleet string, self vmregistry.Node, wrap func(net.Conn) net.Conn, log zerolog.Logger) *Service {
+// Link is the VM's link.
+type Link struct {
+	Wrap   func(net.Conn) net.Conn // of connections to other VMs; nil: none
+	Window int                     // bytes that may be on their way to them; 0: not known
+}
+
+// New returns the relay service of the VM self in a fleet.
+func New(store Store, fleet string, self vmregistry.Node, link Link, log zerolog.Logger) *Service {
 	o := peer.Options{
 		Self:    peer.Identity{Fleet: fleet, Node: self.Name, Zone: self.Zone, Role: peer.RoleControl, Incarnation: uint64(time.Now().UnixNano())},
-		Streams: 1, StallTimeout: stallTimeout, Wrap: wrap,
+		Streams: 1, StallTimeout: stallTimeout, Wrap: link.Wrap,
 	}
 	return &Service{
-		listen: self.Addr, store: store, self: self, opts: o, pool: peer.NewPool(o), bulk: peer.NewPool(o), transfers: newTransfers(), log: log,
+		listen: self.Addr, store: store, self: self, opts: o, pool: peer.NewPool(o), bulk: peer.NewPool(o), transfers: newTransfers(link.Window), log: log,
 		mirrors: map[string]*Mirror{}, reader: true, retryAt: map[string]time.Time{}, indirect: map[string]bool{},
 		lastKnown: map[string]platform.Changes{}, authoritative: map[string]bool{}, lastPoll: map[string]time.Time{},
 		activePeer: map[string]string{}, nodesKnown: make(chan struct{}),
