Count a caller's time from when its request came in, in the three-process form too

A request that waits unread, as behind another one on its connection, was passed on with its whole deadline.

Left open: egress counts the time in a sub-request from when it has read the frame.

--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 	"go.opentelemetry.io/otel/attribute"
 
+	"github.com/sapphirewall/sapphirewall/internal/sockstat"
 	"github.com/sapphirewall/sapphirewall/internal/tables"
 	"github.com/sapphirewall/sapphirewall/internal/telemetry"
 	"github.com/sapphirewall/sapphirewall/internal/verdict"
@@ -64,7 +65,8 @@
 
 // handle serves one HTTP request.
 func (s *Service) handle(h *fasthttp.RequestCtx) {
-	begin := time.Now()
+	waited, _ := sockstat.SinceReceived(h.Conn())
+	begin := time.Now().Add(-waited)
 	id := s.ids.next()
 	ctx := s.tracer.Extract(context.Background(), string(h.Request.Header.Peek(headerTraceparent)))
 	ctx, span := s.tracer.Start(ctx, "entry")
