Take no state that is still coming in from the store for an outage

What callers would see: a VM that starts while the configuration is large serves by an old version for seconds, found by the rig's soak.

The VM used the last state of other VMs and read everything again beside the first read, which made both slower.

Class: an outage judged by time while bulk is on its way, as in the probe that ended with a watch.

--- a/internal/platform/transport.go
+++ b/internal/platform/transport.go
@@ -32,7 +32,8 @@
 	host        *fasthttp.HostClient
 	timeout     time.Duration
 	calls       atomic.Uint64
-	buffer      int // receive buffer of connections, in bytes; 0: the system's
+	heard       atomic.Int64 // when bytes last came in, in Unix nanoseconds
+	buffer      int          // receive buffer of connections, in bytes; 0: the system's
 	decodeError func(status int, body []byte) error
 }
 
@@ -50,7 +51,7 @@
 			if err != nil {
 				return nil, &dialError{err}
 			}
-			return c, t.limitBuffer(c)
+			return &heardConn{Conn: c, heard: &t.heard}, t.limitBuffer(c)
 		},
 		MaxConns:                  maxConns,
 		MaxIdleConnDuration:       idleTimeout,
@@ -74,6 +75,24 @@
 	return tcp.SetReadBuffer(t.buffer)
 }
 
+// Heard returns when bytes of a reply last came in.
+func (t *Transport) Heard() time.Time { return time.Unix(0, t.heard.Load()) }
+
+// heardConn records when bytes come in.
+type heardConn struct {
+	net.Conn
+	heard *atomic.Int64
+}
+
+// Read implements net.Conn.
+func (c *heardConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.heard.Store(time.Now().UnixNano())
+	}
+	return n, err
+}
+
 // Calls returns the number of calls made so far.
 func (t *Transport) Calls() uint64 { return t.calls.Load() }
 
--- a/internal/storerelay/read.go
+++ b/internal/storerelay/read.go
@@ -32,14 +32,12 @@
 		s.logLarge(sourceStore, prefix, c, begin)
 		results <- snapshotResult{c, err}
 	}()
-	var r snapshotResult
-	select {
-	case r = <-results:
+	r, ended := s.awaitSnapshot(results)
+	if ended {
 		s.recordResult(ctx, prefix, r.err)
 		if !isFailure(r.err) {
 			return r.c, r.err
 		}
-	case <-time.After(storeHeadStart):
 	}
 	if c, err, ok := s.readFromPeers(ctx, req); ok {
 		return c, err
@@ -55,6 +53,21 @@
 	return r.c, r.err
 }
 
+// awaitSnapshot waits for a snapshot of the store as long as bytes of it come in. ended is
+// false if none do.
+func (s *Service) awaitSnapshot(results <-chan snapshotResult) (r snapshotResult, ended bool) {
+	for {
+		select {
+		case r = <-results:
+			return r, true
+		case <-time.After(storeHeadStart):
+		}
+		if time.Since(s.store.Heard()) > storeHeadStart {
+			return r, false
+		}
+	}
+}
+
 // snapshotFromRelays reads a snapshot from the relays. It gives them time: when VMs
 // start together, and after a restore of the store, the relays read everything at the
 // same time, and the store must not get a snapshot call from every VM.
@@ -221,7 +234,11 @@
 	// The watch that asks first may end meanwhile, which shows nothing about the store.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeTimeout)
 	defer cancel()
+	begin := time.Now()
 	s.probeErr, s.probedAt = s.store.Probe(ctx), time.Now()
+	if ctx.Err() != nil && s.store.Heard().After(begin) {
+		s.probeErr = nil // the answer waits behind another one that is coming in
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.unavailable = s.probeErr != nil
--- a/internal/storerelay/relay_test.go
+++ b/internal/storerelay/relay_test.go
@@ -41,6 +41,8 @@
 	compacted    bool            // no history: a watch call that waits reports no change
 	changed      chan struct{}
 	probeTime    time.Duration // of a probe
+	snapshotTime time.Duration // of a snapshot, during which bytes come in
+	heard        time.Time
 	// wrap replaces connections between VMs; nil: none are.
 	wrap func(net.Conn) net.Conn
 }
@@ -84,7 +86,22 @@
 	vm string
 }
 
+// Heard implements storerelay.Store.
+func (s vmStore) Heard() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.heard
+}
+
 func (s vmStore) Snapshot(context.Context, string) (platform.Changes, error) {
+	s.mu.Lock()
+	took, refused := s.snapshotTime, s.disconnected[s.vm]
+	s.mu.Unlock()
+	for end := time.Now().Add(took); !refused && time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		s.mu.Lock()
+		s.heard = time.Now()
+		s.mu.Unlock()
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls++
@@ -177,6 +194,7 @@
 	service *storerelay.Service
 	mu      sync.Mutex
 	value   string
+	seen    []string
 	outages int // of the store, as the watch saw them
 }
 
@@ -187,6 +205,7 @@
 	defer v.mu.Unlock()
 	for _, e := range changes {
 		v.value = string(e.Value)
+		v.seen = append(v.seen, v.value)
 	}
 }
 
--- a/internal/storerelay/service.go
+++ b/internal/storerelay/service.go
@@ -81,6 +81,9 @@
 	Probe(ctx context.Context) error
 	// Era returns the highest era of the store that this VM knows.
 	Era() uint64
+	// Heard returns when bytes of the store last came in. A large reply takes seconds on a
+	// slow link, in which the store is not away.
+	Heard() time.Time
 }
 
 // Service is a platform.Watcher that reads the store directly or through other
