Read the state anew when the changes since the last revision can't be read in time

What callers would see: VMs behind a relay that was away while several versions of a large configuration came keep an old one.

Cause: the relay watches from its last revision, and one reply of the store has all versions since. It takes longer than a call may, and the relay asked for the same again, with more to read each time.

Change: a call whose reply is still coming in at its end says so (ErrIncomplete), and the watch then reads the keys as they are now.

Also: a reply to a VM that has given up its call is no longer sent whole, and a timer of pieces on their way is no longer read without its lock.

--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -15,6 +15,7 @@
 	ErrNotFound      = errors.New("platform: key not found")
 	ErrConflict      = errors.New("platform: key is not at the expected revision")
 	ErrUnavailable   = errors.New("platform: service unavailable; call not applied")
+	ErrIncomplete    = errors.New("platform: reply was still coming in when its time was over")
 	ErrUnknown       = errors.New("platform: no reply; call may have been applied")
 	ErrLeaseNotFound = errors.New("platform: lease not found")
 	ErrTooLarge      = errors.New("platform: value too large")
--- a/internal/platform/transport.go
+++ b/internal/platform/transport.go
@@ -18,6 +18,8 @@
 	maxConns      = 64
 	idleTimeout   = 30 * time.Second
 	maxReplyBytes = 64 << 20
+	// arrivingTime is the time between two parts of a reply that is coming in.
+	arrivingTime = 300 * time.Millisecond
 	// WatchReplySlack is how long a watch may take beyond its wait time.
 	WatchReplySlack = time.Second
 )
@@ -153,6 +155,9 @@
 	}()
 	select {
 	case r := <-done:
+		if r.err != nil && time.Since(t.Heard()) < arrivingTime && !time.Now().Before(deadline) {
+			return noReply(cl, fmt.Errorf("%w: %w", ErrIncomplete, r.err))
+		}
 		if r.err != nil {
 			return noReply(cl, r.err)
 		}
--- a/internal/storerelay/pieces.go
+++ b/internal/storerelay/pieces.go
@@ -33,8 +33,8 @@
 type transfers struct {
 	slots *semaphore.Weighted
 
-	mu      sync.Mutex // guards onWay
-	onWay   map[string]*time.Timer
+	mu      sync.Mutex        // guards onWay
+	onWay   map[string]*piece // by VM
 	timeout time.Duration
 }
 
@@ -45,9 +45,12 @@
 	if window > 0 {
 		pieces = min(max(window/pieceBytes, 1), maxPieces)
 	}
-	return &transfers{slots: semaphore.NewWeighted(int64(pieces)), onWay: map[string]*time.Timer{}, timeout: pieceTimeout}
+	return &transfers{slots: semaphore.NewWeighted(int64(pieces)), onWay: map[string]*piece{}, timeout: pieceTimeout}
 }
 
+// piece is a piece on its way.
+type piece struct{ timer *time.Timer }
+
 // begin waits until a piece may be sent to a VM. Its former piece has arrived.
 func (t *transfers) begin(ctx context.Context, vm string) error {
 	t.arrived(vm)
@@ -60,27 +63,28 @@
 		t.slots.Release(1)
 		return nil
 	}
-	var timer *time.Timer
-	timer = time.AfterFunc(t.timeout, func() { t.end(vm, timer) })
-	t.onWay[vm] = timer
+	p := &piece{}
+	p.timer = time.AfterFunc(t.timeout, func() { t.end(vm, p) })
+	t.onWay[vm] = p
 	return nil
 }
 
 // arrived records that the last piece sent to a VM has arrived.
 func (t *transfers) arrived(vm string) {
 	t.mu.Lock()
-	timer := t.onWay[vm]
+	p := t.onWay[vm]
 	t.mu.Unlock()
-	if timer != nil {
-		t.end(vm, timer)
+	if p != nil {
+		t.end(vm, p)
 	}
 }
 
-func (t *transfers) end(vm string, timer *time.Timer) {
+// end frees the slot of a piece, unless that was done.
+func (t *transfers) end(vm string, p *piece) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.onWay[vm] == timer {
-		timer.Stop()
+	if t.onWay[vm] == p {
+		p.timer.Stop()
 		delete(t.onWay, vm)
 		t.slots.Release(1)
 	}
@@ -98,11 +102,13 @@
 		s.log.Error().Err(err).Str("prefix", req.GetPrefix()).Msg("entries can't be packed; they are sent as they are")
 		return
 	}
-	piece := pack.Piece(0, pieceBytes)
-	if !s.admitPiece(ctx, vm, piece) {
-		return // the asking VM has given up
+	first := pack.Piece(0, pieceBytes)
+	reply.Entries = nil
+	if !s.admitPiece(ctx, vm, first) {
+		reply.Status = swpb.StoreStatus_STORE_STATUS_NO_RELAY // the asking VM has given up
+		return
 	}
-	reply.Entries, reply.Pack = nil, &swpb.StorePack{Id: pack.ID, Size: uint32(len(pack.Data)), Piece: piece}
+	reply.Pack = &swpb.StorePack{Id: pack.ID, Size: uint32(len(pack.Data)), Piece: first}
 }
 
 // admitPiece waits until a piece may go to a VM. It returns false if ctx ends before.
@@ -154,6 +160,9 @@
 	s.mu.Lock()
 	m := s.mirrors[prefix]
 	s.mu.Unlock()
+	if m == nil {
+		return c, fmt.Errorf("%w: prefix %q isn't watched here", storepack.ErrInvalid, prefix)
+	}
 	c.Entries, err = storepack.Decode(data, m.Value)
 	return c, err
 }
--- a/internal/storerelay/relay_test.go
+++ b/internal/storerelay/relay_test.go
@@ -86,13 +86,6 @@
 	vm string
 }
 
-// Heard implements storerelay.Store.
-func (s vmStore) Heard() time.Time {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.heard
-}
-
 func (s vmStore) Snapshot(context.Context, string) (platform.Changes, error) {
 	s.mu.Lock()
 	took, refused := s.snapshotTime, s.disconnected[s.vm]
--- a/internal/storerelay/slow_test.go
+++ b/internal/storerelay/slow_test.go
@@ -9,6 +9,13 @@
 	"github.com/sapphirewall/sapphirewall/internal/vmregistry"
 )
 
+// Heard implements storerelay.Store.
+func (s vmStore) Heard() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.heard
+}
+
 var _ = Describe("a VM that starts and reads a large state over a slow link", func() {
 	// Guards against a read that is taken for an outage while it is under way.
 	It("waits for the store, and uses no earlier state of other VMs", func() {
--- a/internal/storewatch/watch.go
+++ b/internal/storewatch/watch.go
@@ -139,6 +139,10 @@
 		w.log.Info().Str("prefix", w.prefix).Uint64("revision", w.revision).Msg("store no longer has the history since the last revision; reading all keys again")
 		return true, w.readAll(ctx)
 	}
+	if errors.Is(err, platform.ErrIncomplete) {
+		w.log.Info().Err(err).Str("prefix", w.prefix).Uint64("revision", w.revision).Msg("changes since the last revision are too large to be read in time; reading the keys as they are now")
+		return true, w.readAll(ctx)
+	}
 	if err != nil {
 		return false, err
 	}
