Read limits with a fraction from the settings

Callers: none was served.

Ruled out: rounding in the template (it has no functions).

Change: cold-slack, retry-slack and exposure-slack are numbers with a fraction; the sum of a cold replica's rate is rounded down once, after adding.

--- a/internal/direct/options.go
+++ b/internal/direct/options.go
@@ -17,7 +17,7 @@
 	// all VMs together may send it its rate times ColdOverage, plus ColdSlack, in
 	// a second.
 	ColdOverage float64
-	ColdSlack   int
+	ColdSlack   float64
 	// RetryShare is the number of extra attempts that the platform allows per
 	// request, and RetrySlack the number that the whole fleet may send beyond
 	// that.
--- a/internal/direct/upstreams.go
+++ b/internal/direct/upstreams.go
@@ -343,7 +343,7 @@
 	if p == nil || p.ColdRate <= 0 || !now.Before(st.ColdEnd) {
 		return 0, false
 	}
-	total := int(p.ColdRate*s.opts.ColdOverage) + s.opts.ColdSlack
+	total := int(p.ColdRate*s.opts.ColdOverage + s.opts.ColdSlack)
 	return fleetlimit.ColdRate(total, st.ID, s.opts.Node, s.fleet), true
 }
 
--- a/internal/settings/fields.go
+++ b/internal/settings/fields.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"fmt"
 	"net/netip"
 	"strconv"
 	"strings"
@@ -45,11 +46,11 @@
 	{"direct", "seeds", "", "Relay addresses of some VMs, used if the platform can't be reached at startup: IP:port, IP:port.", addrs(func(s *Settings) *[]string { return &s.Direct.Seeds })},
 	{"direct", "regions", "zone-1=region-1", "Region of each availability zone: zone=region, zone=region.", pairs(func(s *Settings) *map[string]string { return &s.Direct.Regions })},
 	{"direct", "cold-overage", "1", "Factor by which the fleet-wide rate limit of a cold replica is multiplied.", factor(func(s *Settings) *float64 { return &s.Direct.ColdOverage })},
-	{"direct", "cold-slack", "0", "Requests per second that are added to the fleet-wide rate limit of a cold replica.", number(0, maxSlack, func(s *Settings) *int { return &s.Direct.ColdSlack })},
+	{"direct", "cold-slack", "0", "Requests per second that are added to the fleet-wide rate limit of a cold replica.", factor(func(s *Settings) *float64 { return &s.Direct.ColdSlack })},
 	{"direct", "retry-share", "20%", "Fleet-wide limit on extra attempts to a pool, as a share of its requests.", share(func(s *Settings) *float64 { return &s.Direct.RetryShare })},
-	{"direct", "retry-slack", "50", "Extra attempts to a pool within a few seconds that are allowed fleet-wide beyond that share.", number(0, maxSlack, func(s *Settings) *int { return &s.Direct.RetrySlack })},
+	{"direct", "retry-slack", "50", "Extra attempts to a pool within a few seconds that are allowed fleet-wide beyond that share.", factor(func(s *Settings) *float64 { return &s.Direct.RetrySlack })},
 	{"direct", "exposure-share", "10%", "Fleet-wide limit on what a new version gets during its rollout, as a share of the requests to its pool.", share(func(s *Settings) *float64 { return &s.Direct.ExposureShare })},
-	{"direct", "exposure-slack", "50", "Requests to a new version during its rollout that are allowed fleet-wide beyond that share.", number(0, maxSlack, func(s *Settings) *int { return &s.Direct.ExposureSlack })},
+	{"direct", "exposure-slack", "50", "Requests to a new version during its rollout that are allowed fleet-wide beyond that share.", factor(func(s *Settings) *float64 { return &s.Direct.ExposureSlack })},
 	{"direct", "rollback", "5s", "Time from when a version is known to be bad until it gets no more requests.", duration(time.Second, func(s *Settings) *time.Duration { return &s.Direct.Rollback })},
 
 	{"platform", "kv", "127.0.0.1:7100", "Address of the key-value service, IP:port.", addr(func(s *Settings) *string { return &s.Platform.KV })},
@@ -138,12 +139,12 @@
 	}
 }
 
-// factor reads a number of 0 or more.
+// factor reads a number from 0 to maxFactor, which may have a fraction.
 func factor(target func(*Settings) *float64) readFunc {
 	return func(r *inifile.Reader, key, def string, s *Settings) {
 		f, err := strconv.ParseFloat(r.String(key, def), 64)
-		if err != nil || f < 0 {
-			r.Fail(key, "bad number", "write a number of 0 or more, such as 1.5")
+		if err != nil || !(f >= 0 && f <= maxFactor) {
+			r.Fail(key, "bad number "+strconv.Quote(r.String(key, def)), fmt.Sprintf("write a number from 0 to %d, such as 1.5", maxFactor))
 			return
 		}
 		*target(s) = f
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -76,16 +76,16 @@
 	// replica: its rate is multiplied by ColdOverage, and ColdSlack requests per
 	// second are added.
 	ColdOverage float64
-	ColdSlack   int
+	ColdSlack   float64
 	// RetryShare and RetrySlack set the fleet-wide limit on extra attempts: a
 	// share of the requests, plus a fixed number.
 	RetryShare float64
-	RetrySlack int
+	RetrySlack float64
 	// ExposureShare and ExposureSlack set the fleet-wide limit on what a new version
 	// gets before it is known to be good: a share of the requests to its pool, plus a
 	// fixed number. Rollback is the time in which a bad one gets no more.
 	ExposureShare float64
-	ExposureSlack int
+	ExposureSlack float64
 	Rollback      time.Duration
 }
 
@@ -124,7 +124,7 @@
 	maxBodySize = 7 << 20 // bytes; fits into one frame between processes
 	maxRequests = 1 << 20
 	maxRelays   = 16
-	maxSlack    = 1 << 20
+	maxFactor   = 1 << 20
 )
 
 // field describes one key: its section and name, its default as text, the
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -45,6 +45,14 @@
 		Expect(s.Direct.RetryShare).To(BeNumerically("~", 0.3))
 	})
 
+	It("reads limits with a fraction, which the platform's small deployments have", func() {
+		s, err := settings.Parse("sw.ini", []byte("[direct]\ncold-slack = 0.5\nretry-slack = 33.1578947368421\nexposure-slack = 2.5\n"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.Direct.ColdSlack).To(Equal(0.5))
+		Expect(s.Direct.RetrySlack).To(Equal(33.1578947368421))
+		Expect(s.Direct.ExposureSlack).To(Equal(2.5))
+	})
+
 	DescribeTable("refuses invalid values in [direct]", func(text, want string) {
 		_, err := settings.Parse("sw.ini", []byte("[direct]\n"+text+"\n"))
 		Expect(err).To(MatchError(ContainSubstring(want)))
@@ -53,6 +61,9 @@
 		Entry("regions", "regions = a", `sw.ini:2: [direct] regions: bad item "a"; write name=value`),
 		Entry("cold-overage", "cold-overage = much", "[direct] cold-overage: bad number"),
 		Entry("retry-share", "retry-share = 1.5", "[direct] retry-share"),
+		Entry("retry-slack that is negative", "retry-slack = -1", `[direct] retry-slack: bad number "-1"; write a number from 0 to`),
+		Entry("cold-slack that is no number", "cold-slack = NaN", `[direct] cold-slack: bad number "NaN"`),
+		Entry("exposure-slack without bound", "exposure-slack = Inf", `[direct] exposure-slack: bad number "Inf"`),
 	)
 
 	It("reports all problems of a file together", func() {
