Read the present version, not each of those missed, of large keys

Cause: a watch resumes at the revision that it had, so the store sends all versions since, each up to 1 MB. Ruled out: asking for the key's revision first (each read of the store brings the value along).

Change: a watch that has seen large values reads the keys as they are now after the store was unavailable, and after a reply that held one key's large value more than once: then versions come faster than they are read.

--- a/internal/storewatch/watch.go
+++ b/internal/storewatch/watch.go
@@ -29,6 +29,9 @@
 	// within which a change of an upstream must take effect.
 	minSettle = 150 * time.Millisecond
 	maxSettle = 700 * time.Millisecond
+	// largeValue is the size of a value, in bytes, from which reading several of its
+	// versions takes a link of a few Mbit/s longer than reading the keys as they are now.
+	largeValue = 64 << 10
 )
 
 // retryPace limits the calls while the store is unavailable. A VM must detect its
@@ -82,11 +85,13 @@
 
 	revision    uint64 // up to which all changes were handled; 0: nothing read yet
 	unavailable bool
+	large       map[string]bool // keys with a large value
+	behind      bool            // the history since revision may hold several versions of a large value
 }
 
 // New returns the watch of a prefix of store, which reports to h.
 func New(store platform.Watcher, prefix string, h Handler, log zerolog.Logger) *Watch {
-	return &Watch{store: store, prefix: prefix, handler: h, log: log, rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
+	return &Watch{store: store, prefix: prefix, handler: h, log: log, large: map[string]bool{}, rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
 }
 
 // Run follows the prefix until ctx ends.
@@ -127,7 +132,7 @@
 
 // step makes one call to the store; changed reports whether it returned changes.
 func (w *Watch) step(ctx context.Context) (changed bool, err error) {
-	if w.revision == 0 {
+	if w.revision == 0 || w.behind {
 		return true, w.readAll(ctx)
 	}
 	timeout := maxWait
@@ -148,12 +153,29 @@
 	}
 	w.storeAvailable()
 	if len(c.Entries) > 0 {
+		w.behind = w.recordSizes(c.Entries)
 		w.handler.Apply(c.Entries)
 	}
 	w.revision = max(w.revision, c.Revision)
 	return len(c.Entries) > 0, nil
 }
 
+// recordSizes records which keys have large values now. It reports whether the changes
+// hold a large value more than once: such versions are written faster than this VM reads
+// them, and by the next call there are more.
+func (w *Watch) recordSizes(changes []platform.Entry) (repeated bool) {
+	seen := map[string]bool{}
+	for _, e := range changes {
+		if len(e.Value) < largeValue {
+			delete(w.large, e.Key)
+			continue
+		}
+		repeated = repeated || seen[e.Key]
+		seen[e.Key], w.large[e.Key] = true, true
+	}
+	return repeated
+}
+
 // watch makes one watch call, and cancels it when a concurrent probe fails.
 func (w *Watch) watch(ctx context.Context, timeout time.Duration) (platform.Changes, error) {
 	prober, ok := w.store.(Prober)
@@ -191,6 +213,9 @@
 			Int("entries", len(c.Entries)).Msg("store has come back from an older copy; its state was read again")
 	}
 	w.storeAvailable()
+	w.behind = false
+	clear(w.large)
+	w.recordSizes(c.Entries)
 	w.handler.Replace(c.Entries, c.Revision)
 	w.revision = c.Revision
 	return nil
@@ -201,6 +226,7 @@
 		return
 	}
 	w.unavailable = true
+	w.behind = w.revision != 0 && len(w.large) > 0
 	w.handler.Unavailable(err)
 }
 
