Reserve the time on the network of each caller from the objective

Nearly each query has a part that doesn't come in, so nearly each is answered at the last moment.

Cause: that moment left 12 ms for all that follows and precedes it. There callers are 3 ms away, so that a request on a new connection has used 9 ms when it arrives and its answer takes 3 ms more: always late. Ruled out: processor time (with none charged the median is the same); a wider constant, which callers nearby would pay with parts left out.

Change: the kernel knows the round trip of the caller's connection (sockstat.RoundTrip).

--- a/internal/callerhttp/arrival.go
+++ b/internal/callerhttp/arrival.go
@@ -56,3 +56,14 @@
 		a.kernel.Store(doesNotTell)
 	}
 }
+
+// travel returns how much of a caller's time a request and its answer spend on the network.
+// The first request of a connection follows a handshake, for which the caller has waited
+// too. It is 0 if the kernel doesn't tell.
+func travel(nc net.Conn, connectionUsed bool) time.Duration {
+	rtt, _ := sockstat.RoundTrip(nc)
+	if connectionUsed {
+		return rtt
+	}
+	return 2 * rtt
+}
--- a/internal/callerhttp/arrival_test.go
+++ b/internal/callerhttp/arrival_test.go
@@ -35,6 +35,17 @@
 		Expect(<-arrived).To(BeTemporally("~", sent, 30*time.Millisecond))
 	})
 
+	It("comes with the time on the network, which the kernel knows", func() {
+		travel := make(chan time.Duration, 2)
+		s := serve(func(x *callerhttp.Exchange) { travel <- x.Travel })
+		DeferCleanup(func() { _ = s.Shutdown(context.Background()) })
+		c := dial(s)
+		for range 2 {
+			exchange(c, post+"Content-Length: 1\r\n\r\na")
+			Expect(<-travel).To(And(BeNumerically(">", 0), BeNumerically("<", 100*time.Millisecond)))
+		}
+	})
+
 	It("is uncertain by the time that the process stood still, until the kernel has told it", func() {
 		uncertain := make(chan time.Duration, 2)
 		s := callerhttp.New(func(x *callerhttp.Exchange) {
--- a/internal/callerhttp/conn.go
+++ b/internal/callerhttp/conn.go
@@ -21,6 +21,7 @@
 	incoming     chan *received
 	disconnected chan struct{} // closed when reading has ended: the caller disconnected or was idle too long
 	stopped      atomic.Bool   // no more requests are read
+	used         bool          // a request was read
 }
 
 // received is a request, or the status with which an unreadable one is refused.
@@ -29,6 +30,7 @@
 	arrived time.Time
 	// waited and uncertain are those of Exchange.
 	waited, uncertain time.Duration
+	travel            time.Duration
 	status            int
 }
 
@@ -91,6 +93,8 @@
 	c.setReadDeadline(0)
 	in := &received{request: req}
 	in.arrived, in.waited, in.uncertain = c.server.arrivals.of(c.nc)
+	in.travel = travel(c.nc, c.used)
+	c.used = true
 	return in
 }
 
@@ -170,7 +174,7 @@
 	}
 	defer fasthttp.ReleaseRequest(in.request)
 	c.server.handler(&Exchange{
-		Request: in.request, Response: resp, Arrived: in.arrived, Waited: in.waited, Uncertain: in.uncertain,
+		Request: in.request, Response: resp, Arrived: in.arrived, Waited: in.waited, Uncertain: in.uncertain, Travel: in.travel,
 		Disconnected: c.disconnected, Terminating: c.server.terminating,
 	})
 	c.server.arrivals.prove(c.nc, in.arrived)
--- a/internal/callerhttp/server.go
+++ b/internal/callerhttp/server.go
@@ -18,6 +18,7 @@
 	Arrived      time.Time       // when its last byte came in, as far as is known
 	Waited       time.Duration   // how long that byte was unread, as far as the kernel tells
 	Uncertain    time.Duration   // by how much it may have come in before Arrived
+	Travel       time.Duration   // time on the network, of the request and its answer, and of the handshake before the first request of a connection; 0: not known
 	Disconnected <-chan struct{} // closed when the caller has disconnected
 	Terminating  <-chan struct{} // closed when the process is about to end: answer at once
 }
--- a/internal/direct/options.go
+++ b/internal/direct/options.go
@@ -40,9 +40,6 @@
 
 // The constants of the service.
 const (
-	// answerMargin is how long before the latency objective an incomplete answer
-	// is sent. It covers merging, late timers and the way to the caller.
-	answerMargin = 12 * time.Millisecond
 	// firstAttemptMargin is how long after the time of the answer a first attempt
 	// expires. Otherwise expired attempts would be retried just before the answer
 	// is sent.
--- a/internal/direct/request.go
+++ b/internal/direct/request.go
@@ -15,6 +15,7 @@
 	Arrived      time.Time
 	Waited       time.Duration   // how long the request was unread, as far as is known
 	Uncertain    time.Duration   // by how much it may have come in before Arrived
+	Travel       time.Duration   // of the caller's time, on the network; 0: not known
 	Disconnected <-chan struct{} // closed when the caller has disconnected
 	Terminating  <-chan struct{} // closed when the process has to end
 	// Leave is closed when the VM is cut off from the replicas and another one can serve
--- a/internal/direct/serve.go
+++ b/internal/direct/serve.go
@@ -219,7 +219,7 @@
 	if tail, ok := c.stats.tail.Value(); ok {
 		c.hedgeAfter = min(c.hedgeAfter, time.Duration(hedgeFactor*float64(tail)))
 	}
-	c.answerBy = c.req.Arrived.Add(objective - answerMargin)
+	c.answerBy = gather.AnswerBy(c.req.Arrived, objective, c.req.Travel)
 	c.machine = gather.New(gather.Config{
 		Parts: n, MinParts: c.minParts(), MaxAttempts: attempts, Idempotent: c.route.Idempotent,
 		AnswerBy: c.answerBy, Deadline: c.deadline, HedgeAfter: c.hedgeAfter,
--- a/internal/sockstat/sockstat_linux.go
+++ b/internal/sockstat/sockstat_linux.go
@@ -33,6 +33,19 @@
 	return d, ok
 }
 
+// RoundTrip returns the time that a packet and its acknowledgement take on a connection. ok
+// is false if the kernel doesn't tell.
+func RoundTrip(c net.Conn) (d time.Duration, ok bool) {
+	control(c, func(fd int) {
+		info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+		if err != nil || info.Rtt == 0 {
+			return
+		}
+		d, ok = time.Duration(info.Rtt)*time.Microsecond, true
+	})
+	return d, ok
+}
+
 // control calls fn with the file descriptor of a connection, unless it is closed or has
 // none.
 func control(c net.Conn, fn func(fd int)) {
--- a/internal/sockstat/sockstat_other.go
+++ b/internal/sockstat/sockstat_other.go
@@ -12,3 +12,6 @@
 
 // SinceReceived reports that the kernel doesn't tell.
 func SinceReceived(net.Conn) (d time.Duration, ok bool) { return 0, false }
+
+// RoundTrip reports that the kernel doesn't tell.
+func RoundTrip(net.Conn) (d time.Duration, ok bool) { return 0, false }
--- a/internal/sockstat/sockstat_test.go
+++ b/internal/sockstat/sockstat_test.go
@@ -48,12 +48,21 @@
 		Expect(d).To(BeNumerically("~", 80*time.Millisecond, 40*time.Millisecond))
 	})
 
+	It("has the time of a round trip", func() {
+		a, _ := pair()
+		d, ok := sockstat.RoundTrip(a)
+		Expect(ok).To(BeTrue())
+		Expect(d).To(And(BeNumerically(">", 0), BeNumerically("<", 50*time.Millisecond)))
+	})
+
 	It("is unknown for a connection without a socket or a closed one", func() {
 		a, b := net.Pipe()
 		_, ok := sockstat.Unacknowledged(a)
 		Expect(ok).To(BeFalse())
 		_, ok = sockstat.SinceReceived(b)
 		Expect(ok).To(BeFalse())
+		_, ok = sockstat.RoundTrip(b)
+		Expect(ok).To(BeFalse())
 		c, _ := pair()
 		Expect(c.Close()).To(Succeed())
 		_, ok = sockstat.Unacknowledged(c)
