Share the connections that a replica accepts between its region's VMs and the others

Replicas reset 21,095 connections over what they accept, with the requests on them, most of them in the ten seconds after all VMs had lost power.

Cause: each VM might open two connections to each replica however many VMs there were: 178 at 89 VMs, where replicas accept 76. What was reset counts as possibly run, takes from the retry budget and, if the request ends without an answer, writes a suspicion to the store (1,264 of these, read by all relays). Connections of lost VMs stay open at a replica, so the VMs that replaced them had less than nothing left.

Ruled out: as many as fit by the number of VMs (76/89 is none); a set of sender VMs for each replica of other regions, which leaves some shards without a second replica on some VMs.

Change: half of what a replica accepts is shared by the VMs of its region, which keep their connections, half by the others (fleetlimit.Connections); at least one each, and where that is more than the share, connections across regions are closed after a second without a request.

Tests: the shares at 9, 8, 67, 89, 295 and 2,400 VMs fit what replicas accept, once more for those of the region; a pool keeps an idle connection no longer than its limit. The rule of before fails the table at 67 VMs and more.

--- a/internal/connpool/conn.go
+++ b/internal/connpool/conn.go
@@ -29,7 +29,7 @@
 }
 
 func newConn(p *Pool, nc net.Conn) *conn {
-	return &conn{pool: p, nc: nc, br: bufio.NewReaderSize(nc, readBufferSize), idleTimeout: idleTimeout}
+	return &conn{pool: p, nc: nc, br: bufio.NewReaderSize(nc, readBufferSize), idleTimeout: p.maxIdle}
 }
 
 // assign binds an attempt to the connection. pool.mu is held.
@@ -130,9 +130,9 @@
 		delete(p.conns, c)
 		p.dialMore()
 	default:
-		c.idleTimeout = idleTimeout
+		c.idleTimeout = p.maxIdle
 		if reply.KeepAlive > 0 {
-			c.idleTimeout = min(idleTimeout, max(reply.KeepAlive-idleMargin, idleMargin))
+			c.idleTimeout = min(p.maxIdle, max(reply.KeepAlive-idleMargin, idleMargin))
 		}
 		if next = p.nextWaiting(); next != nil {
 			next.ended = false
--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -14,9 +14,9 @@
 	// dialTimeout bounds the opening of a connection. It is many times a round
 	// trip between regions and the replica's work to accept a connection.
 	dialTimeout = time.Second
-	// idleTimeout is how long an idle connection is kept if the replica doesn't
-	// state its own idle timeout.
-	idleTimeout = 10 * time.Second
+	// IdleTimeout is how long an idle connection is kept, unless the limits of the pool
+	// or the replica's own idle timeout are shorter.
+	IdleTimeout = 10 * time.Second
 	// idleMargin is how long before the replica's idle timeout a connection is
 	// closed, so that no request is sent just as the replica closes it.
 	idleMargin = 700 * time.Millisecond
@@ -55,6 +55,7 @@
 
 	mu      sync.Mutex
 	limit   int
+	maxIdle time.Duration
 	conns   map[*conn]struct{}
 	idle    []*conn // the most recently used one is last
 	waiting []*Attempt
@@ -66,14 +67,15 @@
 // address. count is called with the name of the event for each connection that is
 // opened or closed.
 func NewPool(id, addr string, limit int, codec Codec, dial DialFunc, count func(event string)) *Pool {
-	return &Pool{id: id, addr: addr, limit: limit, codec: codec, dial: dial, count: count, conns: map[*conn]struct{}{}}
+	return &Pool{id: id, addr: addr, limit: limit, maxIdle: IdleTimeout, codec: codec, dial: dial, count: count, conns: map[*conn]struct{}{}}
 }
 
-// SetLimit sets how many connections may be open at once, at least 1.
-func (p *Pool) SetLimit(n int) {
+// SetLimits sets how many connections may be open at once, at least 1, and how long one
+// is kept without a request.
+func (p *Pool) SetLimits(connections int, idle time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.limit = max(n, 1)
+	p.limit, p.maxIdle = max(connections, 1), idle
 }
 
 // Send sends an attempt on an idle connection. If there is none, the attempt
--- a/internal/connpool/pool_test.go
+++ b/internal/connpool/pool_test.go
@@ -235,6 +235,22 @@
 		Expect(ended(inFlight).Err.Outcome).To(Equal(verdict.MayHaveRun))
 	})
 
+	It("keeps an idle connection for no longer than the limit", func() {
+		r := newReplica()
+		p := newPool(r, 1)
+		p.SetLimits(1, 50*time.Millisecond)
+		ask := func(id string, idleFor time.Duration) {
+			_, done := send(p, id)
+			r.next().reply("%s ok\n", id)
+			ended(done)
+			p.Sweep(time.Now().Add(idleFor))
+		}
+		ask("a", 0)
+		ask("b", 60*time.Millisecond)
+		ask("c", 0)
+		Expect(r.conns.Load()).To(BeEquivalentTo(2), "the first one served two requests")
+	})
+
 	It("drops the idle connections that were last used before a stalled attempt was sent", func() {
 		r := newReplica()
 		p := newPool(r, 1)
--- a/internal/decide/fleetlimit/fleetlimit.go
+++ b/internal/decide/fleetlimit/fleetlimit.go
@@ -76,6 +76,16 @@
 	return Share(total, replica, self, nodes)
 }
 
+// Connections is how many connections to a replica a VM may open, and whether they are
+// scarce: there is less than one for each VM. total is what the replica accepts. Half of it
+// is for the sharing VMs of its own region, which send it nearly all of its requests, half
+// for those of other regions. So those of the own region, which keep their connections, fit
+// once more beside the ones of lost VMs, which the replica doesn't know to be lost.
+func Connections(total, sharing int) (limit int, scarce bool) {
+	limit = total / 2 / max(sharing, 1)
+	return max(limit, 1), limit < 1
+}
+
 // RateLimiter limits the events in a sliding window of a second. An event is reserved
 // before it is known when it happens. It is not safe for concurrent use.
 type RateLimiter struct {
--- a/internal/decide/fleetlimit/fleetlimit_test.go
+++ b/internal/decide/fleetlimit/fleetlimit_test.go
@@ -80,3 +80,31 @@
 	Expect(r.Allows(now.Add(time.Hour+time.Second), 1)).To(BeFalse())
 	Expect(r.Allows(now.Add(time.Hour+2*time.Second), 1)).To(BeTrue())
 })
+
+// Guards against connections beyond what replicas accept, which they reset with the requests
+// on them: two for each of 89 VMs where 76 are accepted (21,095 resets in one day).
+var _ = DescribeTable("the connections to a replica", func(total, vms, regions int) {
+	near := vms / regions
+	keep, scarceNear := fleetlimit.Connections(total, near)
+	brief, scarceFar := fleetlimit.Connections(total, vms-near)
+	Expect(scarceNear).To(BeFalse())
+	Expect(2*keep*near).To(BeNumerically("<=", total), "VMs of the region, beside the connections of lost ones")
+	if scarceFar {
+		Expect(brief).To(Equal(1))
+	} else {
+		Expect(keep*near+brief*(vms-near)).To(BeNumerically("<=", total), "all VMs")
+	}
+},
+	Entry("9 VMs", 36, 9, 3), Entry("8 VMs", 46, 8, 3), Entry("67 VMs", 76, 67, 3),
+	Entry("89 VMs", 76, 89, 3), Entry("295 VMs", 196, 295, 3),
+)
+
+var _ = Describe("Connections", func() {
+	It("leaves each VM one, however many there are", func() {
+		limit, scarce := fleetlimit.Connections(195, 2400)
+		Expect(limit).To(Equal(1))
+		Expect(scarce).To(BeTrue())
+		limit, _ = fleetlimit.Connections(36, 0)
+		Expect(limit).To(Equal(18))
+	})
+})
--- a/internal/decide/retry/arrival_test.go
+++ b/internal/decide/retry/arrival_test.go
@@ -160,8 +160,8 @@
 		Expect(s.Unsettled()).To(Equal(1))
 		s.Answered(now, "u", now.Add(-3*retry.Window/2))
 		Expect(s.Unsettled()).To(Equal(0), "an answer to what was written afterwards")
-		Expect(s.AllowRetry(now.Add(retry.Window / 2), sentOnce(s))).To(BeFalse())
-		Expect(s.AllowRetry(now.Add(2 * retry.Window), sentOnce(s))).To(BeTrue())
+		Expect(s.AllowRetry(now.Add(retry.Window/2), sentOnce(s))).To(BeFalse())
+		Expect(s.AllowRetry(now.Add(2*retry.Window), sentOnce(s))).To(BeTrue())
 	})
 
 	It("isn't settled by an answer to what was written before, nor by another upstream", func() {
--- a/internal/decide/retry/shared_test.go
+++ b/internal/decide/retry/shared_test.go
@@ -47,8 +47,8 @@
 		for s.AllowRetry(now, sentOnce(s)) {
 			arriveAtOnce(s, now)
 		}
-		Expect(s.AllowRetry(now.Add(retry.Window - time.Millisecond), sentOnce(s))).To(BeFalse())
-		Expect(s.AllowRetry(now.Add(retry.Window + retry.Window/20), sentOnce(s))).To(BeTrue())
+		Expect(s.AllowRetry(now.Add(retry.Window-time.Millisecond), sentOnce(s))).To(BeFalse())
+		Expect(s.AllowRetry(now.Add(retry.Window+retry.Window/20), sentOnce(s))).To(BeTrue())
 	})
 
 	It("allows hedges for a burst of late parts at once; a token bucket of the same slack doesn't", func() {
@@ -75,7 +75,7 @@
 		Expect(s.AllowRetry(now, sentOnce(s))).To(BeFalse())
 		s.CountFirst(now, now)
 		Expect(s.AllowRetry(now, sentOnce(s))).To(BeTrue())
-		Expect(s.AllowRetry(now.Add(retry.Window - 1), sentOnce(s))).To(BeFalse())
+		Expect(s.AllowRetry(now.Add(retry.Window-1), sentOnce(s))).To(BeFalse())
 		Expect(s.AllowRetry(now.Add(retry.Window), sentOnce(s))).To(BeTrue())
 	})
 
--- a/internal/direct/options.go
+++ b/internal/direct/options.go
@@ -77,10 +77,7 @@
 	// reportInterval is the time between two log lines with all counters, for
 	// operators who only have the logs.
 	reportInterval = 30 * time.Second
-	// minConnections is the number of connections to a replica that a VM may open
-	// however many VMs there are: one for a hedge, one for the next request.
-	minConnections = 2
-	// sameRegionFactor scales an even share of a replica's connections for the VMs
-	// in the replica's region, which send it nearly all of its requests.
-	sameRegionFactor = 1.5
+	// scarceIdleTimeout is how long a connection is kept without a request if replicas
+	// accept less than one for each VM.
+	scarceIdleTimeout = time.Second
 )
--- a/internal/direct/service.go
+++ b/internal/direct/service.go
@@ -68,8 +68,9 @@
 	backlog           retry.Backlog
 	routes            map[string]*routeStats
 	rng               *rand.Rand
-	vms               []VM     // that serve; empty: not known
-	fleet             []string // their names
+	vms               []VM           // that serve; empty: not known
+	fleet             []string       // their names
+	regionVMs         map[string]int // their number by region
 	reach             reach.Machine
 	reachJudgedAt     time.Time
 	limitsChangedAt   time.Time // when a limit in limits last changed
--- a/internal/direct/upstreams.go
+++ b/internal/direct/upstreams.go
@@ -66,7 +66,7 @@
 		}
 	}
 	for _, r := range s.replicas {
-		r.conns.SetLimit(s.connectionLimit(r.status.Pool, r.distance))
+		s.limitConnections(&r.status, r.conns)
 	}
 	s.metrics.set("revision", int64(t.Revision))
 	s.log.Info("tables").Uint64("revision", t.Revision).Int("routes", len(t.Routes)).Int("pools", len(t.Pools)).Msg("tables revision in force")
@@ -237,11 +237,12 @@
 	if r == nil {
 		r = &replica{
 			observed: placement.NewReplica(st.Slots),
-			conns:    connpool.NewPool(st.ID, st.Addr, s.connectionLimit(st.Pool, s.distance(st.Zone)), s.opts.Codec, s.opts.Dial, s.metrics.count),
+			conns:    connpool.NewPool(st.ID, st.Addr, 1, s.opts.Codec, s.opts.Dial, s.metrics.count),
 			distance: s.distance(st.Zone),
 			path:     &reach.Path{},
 			limit:    s.limitOf(&st),
 		}
+		s.limitConnections(&st, r.conns)
 		r.coldLimiter.Start(s.startedAt)
 		s.replicas[st.ID] = r
 		defer s.shareLimit(now, r)
@@ -292,9 +293,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	before := len(s.fleet)
-	s.vms, s.fleet = vms, make([]string, len(vms))
+	s.vms, s.fleet, s.regionVMs = vms, make([]string, len(vms)), map[string]int{}
 	for i, vm := range vms {
 		s.fleet[i] = vm.Name
+		s.regionVMs[s.opts.Regions[vm.Zone]]++
 	}
 	for _, r := range s.replicas {
 		r.ranking = nil
@@ -306,7 +308,7 @@
 	s.metrics.set("fleet_vms", int64(len(vms)))
 	s.log.Info("fleet").Int("vms", len(vms)).Int("before", before).Float64("extra_slack", s.extraLimits().Steady.Slack).Msg("number of VMs that share the fleet-wide limits changed")
 	for _, r := range s.replicas {
-		r.conns.SetLimit(s.connectionLimit(r.status.Pool, r.distance))
+		s.limitConnections(&r.status, r.conns)
 	}
 	for _, p := range s.pools {
 		p.budget.SetLimits(s.extraLimits())
@@ -322,17 +324,26 @@
 	return fleetlimit.ExtraLimits(s.opts.RetryShare, s.opts.RetrySlack, s.fleet)
 }
 
-// connectionLimit is how many connections this VM may open to a replica of a pool.
-// s.mu is held.
-func (s *Service) connectionLimit(pool string, d placement.Distance) int {
-	if s.inForce == nil || s.inForce.tables.Pools[pool] == nil {
-		return minConnections
+// limitConnections applies this VM's share of the connections that a replica accepts. s.mu
+// is held.
+func (s *Service) limitConnections(st *discovery.Status, conns *connpool.Pool) {
+	total := 0 // not known: one connection
+	if s.inForce != nil && s.inForce.tables.Pools[st.Pool] != nil {
+		total = s.inForce.tables.Pools[st.Pool].Connections
+	}
+	sharing := fleetlimit.VMCount(s.fleet)
+	if len(s.vms) > 0 {
+		sharing = s.regionVMs[s.opts.Regions[st.Zone]]
+		if s.distance(st.Zone) == placement.OtherRegion {
+			sharing = len(s.vms) - sharing
+		}
 	}
-	share := float64(s.inForce.tables.Pools[pool].Connections) / float64(fleetlimit.VMCount(s.fleet))
-	if d != placement.OtherRegion {
-		share *= sameRegionFactor
+	limit, scarce := fleetlimit.Connections(total, sharing)
+	idle := connpool.IdleTimeout
+	if scarce {
+		idle = scarceIdleTimeout
 	}
-	return max(minConnections, int(share))
+	conns.SetLimits(limit, idle)
 }
 
 // coldRate is the number of requests that this VM may send to a cold replica in a
