Call the store for a zone, not from each VM, while it doesn't answer the relays

Cause: a VM whose relays had lost the store called it once a second for each of the four prefixes, by itself.

Change: a relay says whether the store doesn't answer it (store_unavailable, which older builds neither send nor read). Two further VMs of the zone then stand in: they probe, and watch if the store serves them. The others ask them and the other zones' relays, and call the store themselves in turn, one a second for the zone (relay.PollInterval), after a probe.

--- a/internal/decide/relay/relay.go
+++ b/internal/decide/relay/relay.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"time"
+
 	"github.com/sapphirewall/sapphirewall/internal/decide/ownership"
 )
 
@@ -59,3 +61,10 @@
 	}
 	return ownership.Rank(rankKey+"reader", "", relays, n)
 }
+
+// PollInterval is the time between two calls to the platform by a node whose relays say
+// that the platform doesn't answer them, so that a zone of some nodes makes one call in
+// each interval in place of one by each node.
+func PollInterval(nodes int, interval time.Duration) time.Duration {
+	return time.Duration(max(nodes, 1)) * interval
+}
--- a/internal/storerelay/peers.go
+++ b/internal/storerelay/peers.go
@@ -87,6 +87,9 @@
 		}
 	}
 	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	if n := len(s.substitutes); n > 0 && s.inKnownOutage(now) {
+		out = append([]string{s.substitutes[rand.IntN(n)]}, out...)
+	}
 	return out[:min(peersPerQuery, len(out))]
 }
 
--- a/internal/storerelay/read.go
+++ b/internal/storerelay/read.go
@@ -4,9 +4,11 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"time"
 
 	"github.com/sapphirewall/sapphirewall/internal/decide/era"
+	"github.com/sapphirewall/sapphirewall/internal/decide/relay"
 	"github.com/sapphirewall/sapphirewall/internal/platform"
 	"github.com/sapphirewall/sapphirewall/proto/swpb"
 )
@@ -20,6 +22,9 @@
 	}
 	s.setIndirect(prefix, false)
 	req.Recall = true
+	if c, err, ok := s.readInKnownOutage(ctx, req); ok {
+		return c, err
+	}
 	if s.storeUnavailable() {
 		if c, err, ok := s.readDuringOutage(ctx, req); ok {
 			return c, err
@@ -101,8 +106,14 @@
 			s.setIndirect(prefix, true)
 			return c, err
 		}
-		if s.isReader() {
+		switch {
+		case s.isReader():
 			return s.watchStore(ctx, req, wait)
+		case s.standsIn():
+			return s.watchStore(ctx, req, min(wait, standInWait))
+		}
+		if c, err, ok := s.readInKnownOutage(ctx, req); ok {
+			return c, err
 		}
 		if c, err, ok := s.readFromPeers(ctx, req); ok {
 			return c, err
@@ -160,6 +171,62 @@
 	return platform.Changes{}, err, true
 }
 
+// readInKnownOutage reads from peers while a relay of the zone says that the store doesn't
+// answer it, which this VM need not find out by itself. ok is false if there is no such
+// word, if this VM stands in for the relays, or if it is its turn to call the store and
+// that answers.
+func (s *Service) readInKnownOutage(ctx context.Context, req *swpb.StoreRequest) (c platform.Changes, err error, ok bool) {
+	s.mu.Lock()
+	known := !s.reader && !s.substitute && s.inKnownOutage(time.Now())
+	s.mu.Unlock()
+	if !known {
+		return platform.Changes{}, nil, false
+	}
+	if c, err, ok := s.readFromPeers(ctx, req); ok {
+		return c, err, true
+	}
+	if s.allowTurn(req.GetPrefix(), time.Now()) && s.probe(ctx) == nil {
+		return platform.Changes{}, nil, false
+	}
+	return platform.Changes{}, fmt.Errorf("%w: it doesn't answer the relays of the zone", platform.ErrUnavailable), true
+}
+
+// allowTurn reports whether it is this VM's turn to call the store for its zone, and if so
+// records the call.
+func (s *Service) allowTurn(prefix string, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if now.Sub(s.lastPoll[prefix]) < relay.PollInterval(s.zoneVMs, pollInterval) {
+		return false
+	}
+	s.lastPoll[prefix] = now.Add(-pollInterval) // a poll follows
+	return true
+}
+
+// hearOfOutage records that a relay says that the store doesn't answer it. The turns of
+// the VMs of a zone to call the store begin at a random time of each. s.mu is held.
+func (s *Service) hearOfOutage(now time.Time) {
+	if !s.inKnownOutage(now) {
+		interval := relay.PollInterval(s.zoneVMs, pollInterval)
+		for prefix := range s.mirrors {
+			s.lastPoll[prefix] = now.Add(-time.Duration(rand.Float64() * float64(interval)))
+		}
+	}
+	s.outageTold = now
+}
+
+// standsIn reports whether this VM reads the store in place of the zone's relays, which say
+// that it doesn't answer them.
+func (s *Service) standsIn() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.substitute && s.inKnownOutage(time.Now())
+}
+
+// inKnownOutage reports whether a relay has said lately that the store doesn't answer it.
+// s.mu is held.
+func (s *Service) inKnownOutage(now time.Time) bool { return now.Sub(s.outageTold) < outageWordTime }
+
 // isFailure reports whether an error means that the store did not answer; a
 // compacted history is an answer.
 func isFailure(err error) bool { return err != nil && !errors.Is(err, platform.ErrCompacted) }
@@ -206,7 +273,8 @@
 // watch waits in counts as compacted when the probe finds the store in a later era.
 func (s *Service) Probe(ctx context.Context, prefix string) error {
 	s.mu.Lock()
-	skip, m := !s.reader || s.indirect[prefix], s.mirrors[prefix]
+	reads := s.reader || s.substitute && s.inKnownOutage(time.Now())
+	skip, m := !reads || s.indirect[prefix], s.mirrors[prefix]
 	s.mu.Unlock()
 	if skip {
 		return nil
--- a/internal/storerelay/serve.go
+++ b/internal/storerelay/serve.go
@@ -32,12 +32,14 @@
 	req := env.GetStoreRequest()
 	s.mu.Lock()
 	m := s.mirrors[req.GetPrefix()]
-	authoritative := s.reader && s.authoritative[req.GetPrefix()]
+	authoritative := (s.reader || s.substitute) && s.authoritative[req.GetPrefix()]
+	unavailable := s.reader && s.unavailable
 	nodes := slices.Clone(s.nodes)
 	s.mu.Unlock()
 	reply := &swpb.StoreReply{Status: swpb.StoreStatus_STORE_STATUS_NO_RELAY}
 	if m != nil && authoritative {
 		reply = readMirror(ctx, m, req)
+		unavailable = unavailable || s.storeUnavailable() // since the poll began
 	}
 	if m != nil && reply.GetStatus() == swpb.StoreStatus_STORE_STATUS_NO_RELAY && req.GetRecall() {
 		reply = lastKnownReply(m)
@@ -45,6 +47,7 @@
 	if m != nil {
 		s.packReply(ctx, from.Node, m, req, reply)
 	}
+	reply.StoreUnavailable = unavailable && !hasStore(reply)
 	if req.GetSnapshot() {
 		s.reportNodes([]*swpb.StoreNode{req.GetAsker()})
 		for _, n := range append(nodes, s.self) {
--- a/internal/storerelay/service.go
+++ b/internal/storerelay/service.go
@@ -30,6 +30,9 @@
 	// relaysPerZone is two, so that the failure of one relay does not cause a call
 	// to the store from every VM.
 	relaysPerZone = 2
+	// substitutesPerZone is how many further VMs of a zone call the store while it doesn't
+	// answer the relays. It may turn away some VMs and serve the others.
+	substitutesPerZone = 2
 	// minZoneVMs is the number of VMs from which a zone uses relays. In a smaller
 	// zone they save few calls and add a hop to every change.
 	minZoneVMs = 6
@@ -72,6 +75,11 @@
 	// reader, while no other VM can answer: a third of the time in which changes
 	// are due.
 	pollInterval = time.Second
+	// outageWordTime is how long a relay's word holds that the store doesn't answer it.
+	outageWordTime = 2 * time.Second
+	// standInWait bounds the wait of a watch call in place of the relays, after which these
+	// are asked again.
+	standInWait = time.Second
 )
 
 // Store is the part of the platform's store that a relay uses.
@@ -118,6 +126,10 @@
 	readers     []string             // addresses of the other VMs that read the store
 	unavailable bool                 // the store did not answer the last call
 	lastPoll    map[string]time.Time // by prefix: last call to the store while this VM was not a reader
+	outageTold  time.Time            // when a relay last said that the store doesn't answer it
+	zoneVMs     int                  // VMs of this zone
+	substitute  bool                 // this VM is a substitute of the zone's relays
+	substitutes []string             // addresses of the others
 	// authoritative has the prefixes that were last read from the store itself,
 	// without a failure since: other VMs get answers only for these.
 	authoritative map[string]bool
@@ -224,16 +236,25 @@
 	if len(cands) >= minZoneVMs {
 		source = relay.SourceOf(s.self.Name, s.self.Zone, cands, relaysPerZone)
 	}
-	var relays []string
+	var relays, substitutes []string
 	for _, r := range source.Relays {
 		relays = append(relays, addrs[r])
 	}
+	substitute := false
+	for i, name := range relay.Choose(s.self.Zone, cands, relaysPerZone+substitutesPerZone) {
+		if name == s.self.Name {
+			substitute = i >= relaysPerZone
+		} else if i >= relaysPerZone {
+			substitutes = append(substitutes, addrs[name])
+		}
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if source.Platform != s.reader || len(relays) != len(s.relays) {
 		s.log.Info().Str("kind", "relay").Bool("direct", source.Platform).Strs("relays", relays).Int("zone_vms", len(cands)).Msg("source of store changes selected")
 	}
-	s.reader, s.relays = source.Platform, relays
+	s.reader, s.relays, s.zoneVMs = source.Platform, relays, len(cands)
+	s.substitute, s.substitutes = substitute && !source.Platform, substitutes
 	s.nodes, s.readers = nodes, readers(s.self.Name, nodes)
 	select {
 	case <-s.nodesKnown:
@@ -345,5 +366,8 @@
 	if err == nil {
 		pause = noStoreBackoff
 	}
+	if reply.GetStoreUnavailable() {
+		s.hearOfOutage(time.Now())
+	}
 	s.retryAt[addr] = time.Now().Add(pause)
 }
