--- a/internal/decide/retry/shared.go
+++ b/internal/decide/retry/shared.go
@@ -10,10 +10,11 @@
 	// extraSteps is the number of steps for which extra attempts are counted: those of
 	// a window that begins within a step.
 	extraSteps = steps + 1
-	// hedgeShare is the share of the budget that hedges may use. The rest is
-	// reserved for retries: a failed part can only be received by a retry, while a
-	// late one may still arrive.
-	hedgeShare = 0.9
+	// retryShare is the share of the budget that is reserved for retries: a failed part can
+	// only be received by a retry, while a late one may still arrive. A budget below
+	// minReserving reserves nothing: the reserve would be a whole attempt of the few.
+	retryShare   = 0.1
+	minReserving = 4.0
 )
 
 // SharedBudget limits the extra attempts of one pool in each window to a share of
@@ -74,11 +75,18 @@
 
 // AllowRetry reports whether a failed part may be retried now, and if so deducts
 // the retry from the budget. A part of which no attempt has left this VM needs none.
-func (s *SharedBudget) AllowRetry(now time.Time, p *Part) bool { return s.deduct(now, 1, p) }
+func (s *SharedBudget) AllowRetry(now time.Time, p *Part) bool { return s.deduct(now, p, 0) }
 
 // AllowHedge reports whether a late part may be hedged now, and if so deducts the
 // hedge from the budget.
-func (s *SharedBudget) AllowHedge(now time.Time, p *Part) bool { return s.deduct(now, hedgeShare, p) }
+func (s *SharedBudget) AllowHedge(now time.Time, p *Part) bool {
+	s.slide(now)
+	reserve := 0.0
+	if allowed := s.allowed(now); allowed >= minReserving {
+		reserve = retryShare * allowed
+	}
+	return s.deduct(now, p, reserve)
+}
 
 // Used returns the number of extra attempts that are charged, and the number allowed.
 func (s *SharedBudget) Used(now time.Time) (used int, allowed float64) {
@@ -155,14 +163,14 @@
 	return limit.Share*float64(s.sums[0]) + limit.Slack
 }
 
-// deduct deducts one extra attempt at a part if that stays within a fraction of the
-// budget.
-func (s *SharedBudget) deduct(now time.Time, fraction float64, p *Part) bool {
+// deduct deducts one extra attempt at a part if the budget has room for it beside a
+// reserve.
+func (s *SharedBudget) deduct(now time.Time, p *Part, reserve float64) bool {
 	s.slide(now)
 	if !p.mayArrive() {
 		return true
 	}
-	if float64(s.used()+1) > fraction*s.allowed(now) {
+	if float64(s.used()+1) > s.allowed(now)-reserve {
 		return false
 	}
 	s.unsettled++
--- a/internal/storerelay/relay_test.go
+++ b/internal/storerelay/relay_test.go
@@ -349,7 +349,7 @@
 		time.Sleep(away)
 		// The watches of the relays and their substitutes fail once each, and one call a
 		// second is made for the zone. Probes cost a tenth.
-		Expect(st.readCalls()-before).To(BeNumerically("<=", 4+int(away/time.Second)))
+		Expect(st.readCalls() - before).To(BeNumerically("<=", 4+int(away/time.Second)))
 		for _, v := range vms {
 			st.setDisconnected(v.Name, false)
 		}
