Let VMs that start in an outage wait for the list of the VMs before they read

Cause: a VM whose first list of the VMs fails takes itself for a reader. When the store was back all 295 read the four prefixes and watched them until the next list, 1.5 s later, or ten seconds later if that failed too.

Ruled out: holding the first read back until there is a list (a VM that starts alone in an outage must go on with what its seeds know; a spec of vmregistry wants the empty list within 500 ms).

Change: a VM without a list takes the store for unavailable, which makes it probe before it reads. When the probe succeeds it has the list read at once, waits for it for up to a second, and reads through its relays. The registry tries again to list and register with growing pauses in place of each ten seconds.

--- a/internal/storerelay/peers.go
+++ b/internal/storerelay/peers.go
@@ -70,7 +70,8 @@
 }
 
 // selectPeers returns up to peersPerQuery VMs to query, chosen at random: readers,
-// or seeds while no reader is known. It returns none within peerBackoff of a query
+// or seeds while no reader is known; and a substitute of the zone's relays while these say
+// that the store doesn't answer them. It returns none within peerBackoff of a query
 // that no peer could answer.
 func (s *Service) selectPeers(now time.Time) []string {
 	s.mu.Lock()
@@ -87,10 +88,11 @@
 		}
 	}
 	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	out = out[:min(peersPerQuery, len(out))]
 	if n := len(s.substitutes); n > 0 && s.inKnownOutage(now) {
-		out = append([]string{s.substitutes[rand.IntN(n)]}, out...)
+		out = append(out, s.substitutes[rand.IntN(n)])
 	}
-	return out[:min(peersPerQuery, len(out))]
+	return out
 }
 
 // readFromPeers polls the active peer and waits there for a change. Without an
--- a/internal/storerelay/peers_test.go
+++ b/internal/storerelay/peers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -200,4 +201,35 @@
 		st.set("2")
 		expectAll(vms, "2", 3*time.Second)
 	})
+
+	// Guards against VMs that each read everything from the store when it comes back, since
+	// they started in the outage and have no list of the relays (all killed in an outage,
+	// trouble-3 of large).
+	It("reads through the relays when it started in the outage, once the store and the list of the VMs are there", func() {
+		st := newStore()
+		var vms []*vm
+		var nodes []vmregistry.Node
+		for i := range 12 {
+			name := fmt.Sprintf("vm-%d", i)
+			st.setDisconnected(name, true)
+			v := newVM(st, name, "a", func(v *vm) {
+				v.service.OnAvailable(func() { // the registry lists the VMs
+					time.Sleep(50 * time.Millisecond)
+					v.service.SetNodes(nodes)
+				})
+			})
+			vms, nodes = append(vms, v), append(nodes, v.Node)
+		}
+		for _, v := range vms {
+			v.watch(nil)
+		}
+		time.Sleep(time.Second)
+		for _, v := range vms {
+			st.setDisconnected(v.Name, false)
+		}
+		expectAll(vms, "1", 3*time.Second)
+		// Each relay reads the state and then watches. VMs whose first poll of a relay fails
+		// may read once.
+		Expect(st.readCalls()).To(BeNumerically("<=", 2*2+2))
+	})
 })
--- a/internal/storerelay/read.go
+++ b/internal/storerelay/read.go
@@ -29,6 +29,9 @@
 		if c, err, ok := s.readDuringOutage(ctx, req); ok {
 			return c, err
 		}
+		if s.awaitList(ctx) && !s.isReader() {
+			return s.Snapshot(ctx, prefix)
+		}
 	}
 	results := make(chan snapshotResult, 1)
 	go func() {
@@ -58,6 +61,24 @@
 	return r.c, r.err
 }
 
+// awaitList lets the list of the VMs be read if there is none since the store was away at the
+// start, and waits for it. It reports whether there is a list now that was missing before.
+func (s *Service) awaitList(ctx context.Context) bool {
+	select {
+	case <-s.listed:
+		return false
+	default:
+	}
+	s.onAvailable()
+	select {
+	case <-s.listed:
+		return true
+	case <-time.After(listWait):
+	case <-ctx.Done():
+	}
+	return false
+}
+
 // awaitSnapshot waits for a snapshot of the store as long as bytes of it come in. ended is
 // false if none do.
 func (s *Service) awaitSnapshot(results <-chan snapshotResult) (r snapshotResult, ended bool) {
--- a/internal/storerelay/service.go
+++ b/internal/storerelay/service.go
@@ -75,6 +75,9 @@
 	// reader, while no other VM can answer: a third of the time in which changes
 	// are due.
 	pollInterval = time.Second
+	// listWait is how long a VM that has started in an outage waits for the list of the VMs
+	// once the store answers, so that it reads through a relay.
+	listWait = time.Second
 	// outageWordTime is how long a relay's word holds that the store doesn't answer it.
 	outageWordTime = 2 * time.Second
 	// standInWait bounds the wait of a watch call in place of the relays, after which these
@@ -142,7 +145,9 @@
 	probeMu       sync.Mutex                  // held during a probe, for probedAt and probeErr; locked before mu
 	probedAt      time.Time
 	probeErr      error         // result of the last probe
-	nodesKnown    chan struct{} // closed once the VMs are known
+	nodesKnown    chan struct{} // closed once the VMs are known, or known to be unknown
+	listed        chan struct{} // closed once there is a list of the VMs
+	onAvailable   func()        // called when the store answers a VM that has no such list
 	server        *peer.Server
 }
 
@@ -162,7 +167,7 @@
 		listen: self.Addr, store: store, self: self, opts: o, pool: peer.NewPool(o), bulk: peer.NewPool(o), transfers: newTransfers(link.Window), log: log,
 		mirrors: map[string]*Mirror{}, reader: true, retryAt: map[string]time.Time{}, indirect: map[string]bool{},
 		lastKnown: map[string]platform.Changes{}, authoritative: map[string]bool{}, lastPoll: map[string]time.Time{},
-		activePeer: map[string]string{}, nodesKnown: make(chan struct{}),
+		activePeer: map[string]string{}, nodesKnown: make(chan struct{}), listed: make(chan struct{}), onAvailable: func() {},
 	}
 }
 
@@ -256,13 +261,27 @@
 	s.reader, s.relays, s.zoneVMs = source.Platform, relays, len(cands)
 	s.substitute, s.substitutes = substitute && !source.Platform, substitutes
 	s.nodes, s.readers = nodes, readers(s.self.Name, nodes)
+	if len(nodes) == 0 {
+		s.unavailable = true // else there would be a list
+	} else {
+		closeOnce(s.listed)
+	}
+	closeOnce(s.nodesKnown)
+}
+
+// closeOnce closes a channel unless it is closed. The caller excludes other calls.
+func closeOnce(ch chan struct{}) {
 	select {
-	case <-s.nodesKnown:
+	case <-ch:
 	default:
-		close(s.nodesKnown)
+		close(ch)
 	}
 }
 
+// OnAvailable sets a function that is called when the store answers a VM that has no list
+// of the VMs. It must be called before Start.
+func (s *Service) OnAvailable(fn func()) { s.onAvailable = fn }
+
 // NodesKnown is closed once the VMs are known.
 func (s *Service) NodesKnown() <-chan struct{} { return s.nodesKnown }
 
--- a/internal/vmregistry/vmregistry.go
+++ b/internal/vmregistry/vmregistry.go
@@ -13,6 +13,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/sapphirewall/sapphirewall/internal/decide/backoff"
 	"github.com/sapphirewall/sapphirewall/internal/decide/vmcount"
 	"github.com/sapphirewall/sapphirewall/internal/kernel"
 	"github.com/sapphirewall/sapphirewall/internal/platform"
@@ -43,6 +44,9 @@
 	maxRewriteDelay = vmcount.Retention - vmcount.CountInterval
 )
 
+// joinPace limits the first listings, each of which costs a tenth of a call.
+var joinPace = backoff.Config{Min: 500 * time.Millisecond, Max: 4 * time.Second, Rate: 2, Burst: 2}
+
 // Store is the part of the platform's store that the registry uses.
 type Store interface {
 	Grant(ctx context.Context, ttl time.Duration) (platform.LeaseID, error)
@@ -75,6 +79,8 @@
 	era     uint64           // of the store in which lease was granted
 	failing bool             // the last call to the store failed
 
+	available chan struct{} // receives when the store answers again
+
 	mu       sync.Mutex // guards the fields below and the order of the calls of notify
 	complete bool       // a list of all VMs was received once, from the store or another VM
 	nodes    map[string]Node
@@ -88,7 +94,7 @@
 // this one, after every listing, and once with none if the store is unavailable at
 // the start.
 func New(store Store, prefix string, self Node, notify func(nodes []Node), log zerolog.Logger) *Service {
-	return &Service{store: store, prefix: prefix, self: self, notify: notify, log: log, nodes: map[string]Node{}, counter: vmcount.New(self.Name)}
+	return &Service{store: store, prefix: prefix, self: self, notify: notify, log: log, nodes: map[string]Node{}, counter: vmcount.New(self.Name), available: make(chan struct{}, 1)}
 }
 
 // Name implements kernel.Service.
@@ -116,14 +122,7 @@
 }
 
 func (s *Service) run(ctx context.Context) {
-	// A VM that restarts finds the others at once; VMs that start together find
-	// each other at the next listing.
-	err := s.list(ctx, time.Now())
-	s.report("count", err)
-	if err != nil {
-		s.notifyUnknown()
-	}
-	s.report("enter", s.register(ctx))
+	s.join(ctx)
 	renew := time.NewTicker(renewEvery)
 	defer renew.Stop()
 	listing := time.NewTimer(vmcount.RecountDelay)
@@ -150,6 +149,41 @@
 	}
 }
 
+// join lists the VMs and registers this one, and tries again until the store answers. A VM
+// that restarts finds the others at once; VMs that start together find each other at the
+// next listing.
+func (s *Service) join(ctx context.Context) {
+	pacer := backoff.New(joinPace, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	for first := true; ; first = false {
+		err := s.list(ctx, time.Now())
+		s.report("count", err)
+		if err == nil {
+			s.report("enter", s.register(ctx))
+			return
+		}
+		if first {
+			s.notifyUnknown()
+		}
+		now := time.Now()
+		pacer.Called(now)
+		pacer.Done(now, false)
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.available:
+		case <-time.After(pacer.Next(now).Sub(now)):
+		}
+	}
+}
+
+// StoreAvailable states that the store answers this VM again.
+func (s *Service) StoreAvailable() {
+	select {
+	case s.available <- struct{}{}:
+	default:
+	}
+}
+
 // notifyUnknown passes on an empty list if there is none yet, so that nothing
 // waits for it.
 func (s *Service) notifyUnknown() {
--- a/internal/vmregistry/vmregistry_test.go
+++ b/internal/vmregistry/vmregistry_test.go
@@ -166,4 +166,19 @@
 		st.mu.Unlock()
 		Eventually(st.keys, "15s").Should(ConsistOf("vms/vm-1"))
 	})
+
+	It("lists the VMs at once when it hears that the store answers again", func() {
+		st := &store{down: true, entries: []platform.Entry{{Key: "vms/vm-2", Value: []byte("b 10.0.0.2:7")}}}
+		lists := make(chan []vmregistry.Node, 10)
+		r := vmregistry.New(st, "vms/", self, func(nodes []vmregistry.Node) { lists <- nodes }, zerolog.New(GinkgoWriter))
+		Expect(r.Start(context.Background(), nil)).To(Succeed())
+		DeferCleanup(func() { Expect(r.Stop(context.Background())).To(Succeed()) })
+		Eventually(lists, "500ms").Should(Receive(BeEmpty()))
+		time.Sleep(2 * time.Second) // the pause between two tries has grown
+		st.mu.Lock()
+		st.down = false
+		st.mu.Unlock()
+		r.StoreAvailable()
+		Eventually(lists, "200ms").Should(Receive(ConsistOf(self, other)))
+	})
 })
