--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sapphirewall/sapphirewall/internal/verdict"
@@ -52,6 +53,7 @@
 	codec    Codec
 	dial     DialFunc
 	count    func(event string) // counts opened and closed connections
+	empty    atomic.Bool        // there is nothing for Sweep to do
 
 	mu      sync.Mutex
 	limit   int
@@ -88,6 +90,7 @@
 		return
 	}
 	c := p.takeIdle()
+	p.empty.Store(false)
 	if c == nil {
 		p.waiting = append(p.waiting, a)
 		p.dialMore()
@@ -152,6 +155,7 @@
 		waiting = append(waiting, a)
 	}
 	p.waiting = waiting
+	p.empty.Store(len(p.conns)+len(p.waiting)+p.dialing == 0)
 	p.mu.Unlock()
 	for _, c := range expired {
 		c.close(verdict.ConnectionSilent, "no answer in time")
@@ -164,6 +168,10 @@
 	}
 }
 
+// Empty reports whether there is nothing for Sweep to do. At hundreds of VMs most pools of a
+// VM are empty at most times.
+func (p *Pool) Empty() bool { return p.empty.Load() }
+
 // DropIdle closes the idle connections that were last used before a time. When
 // one connection has stalled, those that were idle since before may have too.
 func (p *Pool) DropIdle(before time.Time) {
@@ -295,6 +303,7 @@
 	}
 	c := newConn(p, nc)
 	p.conns[c] = struct{}{}
+	p.empty.Store(false)
 	c.release(time.Now())
 	p.mu.Unlock()
 	p.count("connections_opened")
--- a/internal/connpool/pool_test.go
+++ b/internal/connpool/pool_test.go
@@ -235,6 +235,24 @@
 		Expect(ended(inFlight).Err.Outcome).To(Equal(verdict.MayHaveRun))
 	})
 
+	It("needs no sweep once it has neither connections nor attempts, until the next attempt", func() {
+		r := newReplica()
+		p := newPool(r, 1)
+		p.Sweep(time.Now())
+		Expect(p.Empty()).To(BeTrue())
+		_, done := send(p, "a")
+		Expect(p.Empty()).To(BeFalse())
+		r.next().reply("a ok\n")
+		ended(done)
+		p.Sweep(time.Now())
+		Expect(p.Empty()).To(BeFalse(), "the connection may become idle for too long")
+		p.Sweep(time.Now().Add(connpool.IdleTimeout + time.Second))
+		p.Sweep(time.Now())
+		Expect(p.Empty()).To(BeTrue())
+		Expect(p.Probe(context.Background())).To(Succeed())
+		Expect(p.Empty()).To(BeFalse())
+	})
+
 	It("keeps an idle connection for no longer than the limit", func() {
 		r := newReplica()
 		p := newPool(r, 1)
--- a/internal/direct/service.go
+++ b/internal/direct/service.go
@@ -193,7 +193,9 @@
 	s.retired = slices.DeleteFunc(s.retired, (*connpool.Pool).Ended)
 	pools := slices.Clone(s.retired)
 	for _, r := range s.replicas {
-		pools = append(pools, r.conns)
+		if !r.conns.Empty() {
+			pools = append(pools, r.conns)
+		}
 	}
 	s.mu.Unlock()
 	for _, p := range pools {
