--- a/internal/decide/retry/arrival_test.go
+++ b/internal/decide/retry/arrival_test.go
@@ -49,7 +49,6 @@
 func (p *pausedPool) request(n int) {
 	part := &retry.Part{}
 	p.budget.CountFirst(p.now, p.now)
-	p.budget.Sent(part)
 	p.firstAt = append(p.firstAt, p.now)
 	if p.paused {
 		p.held = append(p.held, &sentAttempt{part: part, request: n, at: p.now})
@@ -57,8 +56,7 @@
 		p.arrive(n)
 		p.budget.Settle(p.now, part)
 	}
-	if p.budget.AllowRetry(p.now, part) {
-		p.budget.Sent(part)
+	if p.budget.AllowRetry(p.now) {
 		p.arrive(n)
 		p.budget.Settle(p.now, part)
 	}
@@ -150,26 +148,22 @@
 
 	It("charges an extra attempt until a window has passed since its upstream answered again", func() {
 		now := time.Unix(1000, 0)
-		s := newBudget(0, 1)
-		part := sentOnce(s)
-		Expect(s.AllowRetry(now, part)).To(BeTrue())
-		s.Sent(part)
+		s, part := newBudget(0, 1), &retry.Part{}
+		Expect(s.AllowRetry(now)).To(BeTrue())
 		s.Settle(now, part) // the retry; the first attempt has not arrived yet
 		s.Abandon(now.Add(time.Second), "u", part)
 		now = now.Add(2 * retry.Window)
 		Expect(s.Unsettled()).To(Equal(1))
 		s.Answered(now, "u", now.Add(-3*retry.Window/2))
 		Expect(s.Unsettled()).To(Equal(0), "an answer to what was written afterwards")
-		Expect(s.AllowRetry(now.Add(retry.Window/2), sentOnce(s))).To(BeFalse())
-		Expect(s.AllowRetry(now.Add(2*retry.Window), sentOnce(s))).To(BeTrue())
+		Expect(s.AllowRetry(now.Add(retry.Window / 2))).To(BeFalse())
+		Expect(s.AllowRetry(now.Add(2 * retry.Window))).To(BeTrue())
 	})
 
 	It("isn't settled by an answer to what was written before, nor by another upstream", func() {
 		now := time.Unix(1000, 0)
-		s := newBudget(0, 1)
-		part := sentOnce(s)
-		Expect(s.AllowRetry(now, part)).To(BeTrue())
-		s.Sent(part)
+		s, part := newBudget(0, 1), &retry.Part{}
+		Expect(s.AllowRetry(now)).To(BeTrue())
 		s.Settle(now, part)
 		s.Abandon(now.Add(time.Second), "u", part)
 		s.Answered(now.Add(2*time.Second), "u", now)
@@ -179,10 +173,8 @@
 
 	It("takes what an upstream that never answers was sent for lost after a minute", func() {
 		now := time.Unix(1000, 0)
-		s := newBudget(0, 1)
-		part := sentOnce(s)
-		Expect(s.AllowRetry(now, part)).To(BeTrue())
-		s.Sent(part)
+		s, part := newBudget(0, 1), &retry.Part{}
+		Expect(s.AllowRetry(now)).To(BeTrue())
 		s.Settle(now, part)
 		s.Abandon(now, "u", part)
 		used, _ := s.Used(now.Add(59 * time.Second))
@@ -192,56 +184,4 @@
 		used, _ = s.Used(now.Add(72 * time.Second))
 		Expect(used).To(BeZero())
 	})
-
-	// Guards against retries refused after attempts that no upstream has seen: after all
-	// VMs of a deployment had lost power, most connections were refused and the budget of
-	// the start was charged for each of them.
-	It("charges nothing for attempts that never left the VM", func() {
-		now := time.Unix(1000, 0)
-		s := newBudget(0, 1)
-		for range 20 {
-			part := sentOnce(s)
-			s.Withdraw(part)
-			Expect(s.AllowRetry(now, part)).To(BeTrue(), "the part's first attempt that can arrive")
-			s.Sent(part)
-			s.Settle(now, part)
-		}
-		used, _ := s.Used(now)
-		Expect(used).To(BeZero())
-		part := sentOnce(s)
-		s.Settle(now, part)
-		Expect(s.AllowRetry(now, part)).To(BeTrue())
-		s.Sent(part)
-		Expect(s.AllowRetry(now, part)).To(BeFalse())
-		s.Withdraw(part)
-		Expect(s.AllowRetry(now, part)).To(BeTrue(), "the one before was withdrawn")
-	})
-
-	It("counts the arrivals beyond the first of each part, whatever is withdrawn or late", func() {
-		rng := rand.New(rand.NewPCG(4, 9))
-		now := time.Unix(1000, 0)
-		s := newBudget(0, 1e6)
-		arrivals := 0
-		for range 2000 {
-			part, arrived, pending := sentOnce(s), 0, 1
-			for range rng.IntN(4) {
-				if s.AllowRetry(now, part) {
-					s.Sent(part)
-					pending++
-				}
-				if rng.IntN(2) == 0 {
-					s.Withdraw(part)
-					pending--
-				}
-			}
-			for range pending {
-				s.Settle(now, part)
-				arrived++
-			}
-			arrivals += max(0, arrived-1)
-		}
-		used, _ := s.Used(now)
-		Expect(used).To(Equal(arrivals))
-		Expect(s.Unsettled()).To(BeZero())
-	})
 })
--- a/internal/decide/retry/shared.go
+++ b/internal/decide/retry/shared.go
@@ -26,7 +26,7 @@
 // long after they were sent: an attempt waits for a connection, or in the kernel of
 // an upstream that is paused. So an extra attempt is charged from the time at which
 // it is sent until a window has passed since it was settled, that is, known to have
-// arrived. One that was withdrawn, that is, never left this VM, isn't charged.
+// arrived or to arrive never.
 //
 // It is not safe for concurrent use.
 type SharedBudget struct {
@@ -74,18 +74,18 @@
 }
 
 // AllowRetry reports whether a failed part may be retried now, and if so deducts
-// the retry from the budget. A part of which no attempt has left this VM needs none.
-func (s *SharedBudget) AllowRetry(now time.Time, p *Part) bool { return s.deduct(now, p, 0) }
+// the retry from the budget.
+func (s *SharedBudget) AllowRetry(now time.Time) bool { return s.deduct(now, 0) }
 
 // AllowHedge reports whether a late part may be hedged now, and if so deducts the
 // hedge from the budget.
-func (s *SharedBudget) AllowHedge(now time.Time, p *Part) bool {
+func (s *SharedBudget) AllowHedge(now time.Time) bool {
 	s.slide(now)
 	reserve := 0.0
 	if allowed := s.allowed(now); allowed >= minReserving {
 		reserve = retryShare * allowed
 	}
-	return s.deduct(now, p, reserve)
+	return s.deduct(now, reserve)
 }
 
 // Used returns the number of extra attempts that are charged, and the number allowed.
@@ -101,26 +101,11 @@
 
 // Part is the attempts of one request at one part.
 type Part struct {
-	pending int  // attempts that were sent and are not settled
 	settled bool // one attempt is
 }
 
-// mayArrive reports whether an attempt has arrived or may arrive still.
-func (p *Part) mayArrive() bool { return p.settled || p.pending > 0 }
-
-// Sent records that an attempt at a part is sent, which was a first one or was allowed.
-func (s *SharedBudget) Sent(p *Part) { p.pending++ }
-
-// Withdraw records that an attempt at a part has ended and never left this VM.
-func (s *SharedBudget) Withdraw(p *Part) {
-	p.pending--
-	if p.mayArrive() {
-		s.unsettled--
-	}
-}
-
-// Settle records that an attempt at a part is known to have arrived, or is taken to have
-// arrived. The first of a part's attempts to be settled is the one that isn't extra.
+// Settle records that an attempt at a part is known to have arrived, or to arrive
+// never. The first of a part's attempts to be settled is the one that isn't extra.
 func (s *SharedBudget) Settle(now time.Time, p *Part) {
 	s.slide(now)
 	s.settle(p)
@@ -128,7 +113,6 @@
 
 // settle is Settle in the current step.
 func (s *SharedBudget) settle(p *Part) {
-	p.pending--
 	if !p.settled {
 		p.settled = true
 		return
@@ -163,13 +147,9 @@
 	return limit.Share*float64(s.sums[0]) + limit.Slack
 }
 
-// deduct deducts one extra attempt at a part if the budget has room for it beside a
-// reserve.
-func (s *SharedBudget) deduct(now time.Time, p *Part, reserve float64) bool {
+// deduct deducts one extra attempt if the budget has room for it beside a reserve.
+func (s *SharedBudget) deduct(now time.Time, reserve float64) bool {
 	s.slide(now)
-	if !p.mayArrive() {
-		return true
-	}
 	if float64(s.used()+1) > s.allowed(now)-reserve {
 		return false
 	}
--- a/internal/decide/retry/shared_test.go
+++ b/internal/decide/retry/shared_test.go
@@ -24,7 +24,7 @@
 				s.CountFirst(now, now)
 				first = append(first, now)
 			}
-			if rng.IntN(2) == 0 && s.AllowHedge(now, sentOnce(s)) || s.AllowRetry(now, sentOnce(s)) {
+			if rng.IntN(2) == 0 && s.AllowHedge(now) || s.AllowRetry(now) {
 				arriveAtOnce(s, now)
 				extra = append(extra, now)
 			}
@@ -44,11 +44,11 @@
 		s := newBudget(0, 4)
 		s.CountFirst(begin, begin)
 		now := begin.Add(retry.Window/20 - time.Millisecond) // the end of a step
-		for s.AllowRetry(now, sentOnce(s)) {
+		for s.AllowRetry(now) {
 			arriveAtOnce(s, now)
 		}
-		Expect(s.AllowRetry(now.Add(retry.Window-time.Millisecond), sentOnce(s))).To(BeFalse())
-		Expect(s.AllowRetry(now.Add(retry.Window+retry.Window/20), sentOnce(s))).To(BeTrue())
+		Expect(s.AllowRetry(now.Add(retry.Window - time.Millisecond))).To(BeFalse())
+		Expect(s.AllowRetry(now.Add(retry.Window + retry.Window/20))).To(BeTrue())
 	})
 
 	It("allows hedges for a burst of late parts at once; a token bucket of the same slack doesn't", func() {
@@ -61,7 +61,7 @@
 			s.CountFirst(now, now)
 		}
 		hedges := 0
-		for s.AllowHedge(now, sentOnce(s)) {
+		for s.AllowHedge(now) {
 			hedges++
 		}
 		Expect(hedges).To(BeNumerically(">=", 40))
@@ -70,21 +70,21 @@
 	It("keeps a process within its limits for the start during its first window", func() {
 		now := time.Unix(1000, 0)
 		s := retry.NewSharedBudget(retry.Limits{Start: retry.Limit{Share: 0.5}, Steady: retry.Limit{Share: 1, Slack: 4}}, now)
-		Expect(s.AllowRetry(now, sentOnce(s))).To(BeFalse())
+		Expect(s.AllowRetry(now)).To(BeFalse())
 		s.CountFirst(now, now)
-		Expect(s.AllowRetry(now, sentOnce(s))).To(BeFalse())
+		Expect(s.AllowRetry(now)).To(BeFalse())
 		s.CountFirst(now, now)
-		Expect(s.AllowRetry(now, sentOnce(s))).To(BeTrue())
-		Expect(s.AllowRetry(now.Add(retry.Window-1), sentOnce(s))).To(BeFalse())
-		Expect(s.AllowRetry(now.Add(retry.Window), sentOnce(s))).To(BeTrue())
+		Expect(s.AllowRetry(now)).To(BeTrue())
+		Expect(s.AllowRetry(now.Add(retry.Window - 1))).To(BeFalse())
+		Expect(s.AllowRetry(now.Add(retry.Window))).To(BeTrue())
 	})
 
 	It("reserves a share of the budget for failed parts", func() {
 		now := time.Unix(1000, 0)
 		s := newBudget(0, 4)
-		for s.AllowHedge(now, sentOnce(s)) {
+		for s.AllowHedge(now) {
 		}
-		Expect(s.AllowRetry(now, sentOnce(s))).To(BeTrue())
+		Expect(s.AllowRetry(now)).To(BeTrue())
 	})
 })
 
@@ -95,19 +95,11 @@
 
 // arriveAtOnce settles an extra attempt that has just been allowed.
 func arriveAtOnce(s *retry.SharedBudget, now time.Time) {
-	part := sentOnce(s)
-	s.Sent(part)
+	part := &retry.Part{}
 	s.Settle(now, part)
 	s.Settle(now, part)
 }
 
-// sentOnce returns a part whose first attempt is on its way.
-func sentOnce(s *retry.SharedBudget) *retry.Part {
-	part := &retry.Part{}
-	s.Sent(part)
-	return part
-}
-
 // within returns the number of times in the window that ends at end.
 func within(times []time.Time, end time.Time, window time.Duration) int {
 	n := 0
--- a/internal/decide/retry/sparse_test.go
+++ b/internal/decide/retry/sparse_test.go
@@ -23,13 +23,12 @@
 	hedged, n := 0, 0
 	for range 20_000 {
 		now = now.Add(time.Duration(rng.ExpFloat64() / perSecond * float64(time.Second)))
-		part := sentOnce(s)
+		part := &retry.Part{}
 		s.CountFirst(now, now)
 		if rng.Float64() < late {
 			n++
-			if s.AllowHedge(now, part) {
+			if s.AllowHedge(now) {
 				hedged++
-				s.Sent(part)
 				s.Settle(now, part)
 			}
 		}
--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -8,7 +8,6 @@
 	"github.com/sapphirewall/sapphirewall/internal/decide/discovery"
 	"github.com/sapphirewall/sapphirewall/internal/decide/gather"
 	"github.com/sapphirewall/sapphirewall/internal/decide/placement"
-	"github.com/sapphirewall/sapphirewall/internal/decide/retry"
 	"github.com/sapphirewall/sapphirewall/internal/decide/rollout"
 	"github.com/sapphirewall/sapphirewall/internal/tables"
 	"github.com/sapphirewall/sapphirewall/internal/verdict"
@@ -50,7 +49,7 @@
 		reason = c.whyNoReplica(now, p)
 	case c.shouldSkip(now, r):
 		reason = "best replica would answer after the objective"
-	case !s.takeBudget(now, p, planned.Kind, &c.budgetParts[planned.Part]):
+	case !s.takeBudget(now, p, planned.Kind):
 		reason = "budget for extra attempts is used up"
 	}
 	if reason != "" {
@@ -70,7 +69,6 @@
 	if _, a.limited = r.limit.Rate(); a.limited {
 		r.limit.Reserve(now)
 	}
-	p.budget.Sent(&c.budgetParts[planned.Part])
 	c.machine.Sent(now, planned.Part)
 	c.tried[planned.Part] = append(c.tried[planned.Part], r.status.ID)
 	c.inFlight = append(c.inFlight, a)
@@ -114,12 +112,12 @@
 
 // takeBudget takes an attempt from the pool's budget of extra attempts, or counts it
 // as a first one. It reports whether the attempt may be sent. s.mu is held.
-func (s *Service) takeBudget(now time.Time, p *pool, kind gather.Kind, part *retry.Part) bool {
+func (s *Service) takeBudget(now time.Time, p *pool, kind gather.Kind) bool {
 	switch kind {
 	case gather.Retry:
-		return p.budget.AllowRetry(now, part)
+		return p.budget.AllowRetry(now)
 	case gather.Hedge:
-		return p.budget.AllowHedge(now, part)
+		return p.budget.AllowHedge(now)
 	}
 	s.observeRunning(now)
 	p.budget.CountFirst(now, s.backlog.SentSince(now))
@@ -254,10 +252,6 @@
 		budget.Abandon(now, upstream, part)
 		return
 	}
-	if w.Err != nil && w.Err.Outcome == verdict.NotRun {
-		budget.Withdraw(part)
-		return
-	}
 	budget.Settle(now, part)
 	if w.Reply != nil {
 		budget.Answered(now, upstream, w.AssignedAt)
--- a/test/model/bounds_test.go
+++ b/test/model/bounds_test.go
@@ -184,20 +184,16 @@
 		f.firstAttempts = append(f.firstAttempts, f.now)
 	}
 	for range extra {
-		part := &retry.Part{}
-		v.extraBudget.Sent(part) // the first attempt, whose request has arrived elsewhere
-		if v.extraBudget.AllowRetry(f.now, part) {
-			f.sendExtra(v, part)
-		} else {
-			v.extraBudget.Settle(f.now, part)
+		if v.extraBudget.AllowRetry(f.now) {
+			f.sendExtra(v)
 		}
 	}
 }
 
-// sendExtra sends an extra attempt at a part. While the upstream is paused, the attempt
-// is held and given up.
-func (f *fleet) sendExtra(v *vm, part *retry.Part) {
-	v.extraBudget.Sent(part)
+// sendExtra sends an extra attempt, whose request has arrived elsewhere before. While
+// the upstream is paused, the attempt is held and given up.
+func (f *fleet) sendExtra(v *vm) {
+	part := &retry.Part{}
 	v.extraBudget.Settle(f.now, part) // the first attempt
 	if f.resumeAt.IsZero() {
 		v.extraBudget.Settle(f.now, part)
