--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -63,15 +63,23 @@
 	return &deployment{dir: dir, record: rec, store: newStore()}, nil
 }
 
+// portsGiven has the ports that freeAddr has returned.
+var portsGiven = map[int]bool{}
+
 // freeAddr returns an address whose port is below those that connections get, so that none
 // takes it before a process listens there.
 func freeAddr() (string, error) {
 	for range 1000 {
-		ln, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", 12000+rand.IntN(18000)))
-		if err == nil {
+		port := 12000 + rand.IntN(18000)
+		ln, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err == nil && !portsGiven[port] {
+			portsGiven[port] = true
 			defer func() { _ = ln.Close() }()
 			return ln.Addr().String(), nil
 		}
+		if err == nil {
+			_ = ln.Close()
+		}
 	}
 	return "", errors.New("no free port")
 }
