--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -34,6 +34,8 @@
 	view                 *storeView
 	links                map[string]*link // by replica address
 	peers                *link            // from other VMs
+	storeLink            *link            // to the store
+	peerLinks            map[string]*link // to other VMs, by their address
 	settings             string
 	cmd                  *exec.Cmd
 	mu                   sync.Mutex
@@ -135,6 +137,34 @@
 	return v.links[target]
 }
 
+// peerLink returns the address of the VM's own link to another VM.
+func (v *vm) peerLink(addr string) string {
+	if addr == v.relay {
+		return addr
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.peerLinks[addr] == nil {
+		l, err := startLink(addr, 0)
+		if err != nil {
+			panic(err)
+		}
+		v.peerLinks[addr] = l
+	}
+	return v.peerLinks[addr].addr
+}
+
+// systemLinks returns the links between the VM and the store and the other VMs.
+func (v *vm) systemLinks() []*link {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	out := []*link{v.storeLink, v.peers}
+	for _, l := range v.peerLinks {
+		out = append(out, l)
+	}
+	return out
+}
+
 // hangReplicas partitions VMs from all replicas: their connections hang.
 func (d *deployment) hangReplicas(vms []*vm) { d.onLinks(vms, (*link).hang) }
 
@@ -165,8 +195,8 @@
 
 // addVM prepares a VM in a zone.
 func (d *deployment) addVM(zone string) (*vm, error) {
-	v := &vm{name: fmt.Sprintf("frontend-%s-%d", zone, len(d.vms)+1), zone: zone, links: map[string]*link{}}
-	v.view = &storeView{store: d.store}
+	v := &vm{name: fmt.Sprintf("frontend-%s-%d", zone, len(d.vms)+1), zone: zone, links: map[string]*link{}, peerLinks: map[string]*link{}}
+	v.view = &storeView{store: d.store, rewritePeer: v.peerLink}
 	if !d.direct {
 		v.view.rewrite = func(addr string) string { return v.link(addr).addr }
 	}
@@ -184,6 +214,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if v.storeLink, err = startLink(v.view.addr, time.Millisecond); err != nil {
+		return nil, err
+	}
 	v.peers, v.relay = peers, peers.addr
 	d.vms = append(d.vms, v)
 	return v, nil
@@ -228,7 +261,7 @@
 [platform]
 kv = %s
 timeout = 2s
-`, v.name, v.zone, v.callers, v.ready, v.adminURL, v.relay, v.own, strings.Join(seeds, ","), strings.Join(regions, ","), v.view.addr)
+`, v.name, v.zone, v.callers, v.ready, v.adminURL, v.relay, v.own, strings.Join(seeds, ","), strings.Join(regions, ","), v.storeLink.addr)
 		v.settings = filepath.Join(d.dir, v.name+".ini")
 		if err := os.WriteFile(v.settings, []byte(text), 0o600); err != nil {
 			return err
--- a/review/standin/spoiled.go
+++ b/review/standin/spoiled.go
@@ -66,11 +66,11 @@
 	var wg sync.WaitGroup
 	var answers tally
 	wrong := 0
-	end := time.Now().Add(20 * time.Second)
+	end := time.Now().Add(30 * time.Second)
 	for i, v := range d.vms {
 		wg.Go(func() {
 			for n := 0; time.Now().Before(end); n++ {
-				time.Sleep(time.Duration(rand.ExpFloat64() * float64(time.Second) / 30))
+				time.Sleep(time.Duration(rand.ExpFloat64() * float64(time.Second) / 40))
 				q := request{id: fmt.Sprintf("r%d%06d", i, n), method: http.MethodPost, target: orderTarget, body: []byte("order"), deadline: 3 * time.Second}
 				if n%2 == 1 {
 					q.target = "/goka902/2f"
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -95,8 +95,9 @@
 type storeView struct {
 	store *store
 	addr  string
-	// rewrite replaces the address of a replica by that of the VM's link to it; nil: none.
-	rewrite func(addr string) string
+	// rewrite replaces the address of a replica by that of the VM's link to it, and
+	// rewritePeer that of another VM; nil: none.
+	rewrite, rewritePeer func(addr string) string
 
 	mu      sync.Mutex
 	rejects bool // the store turns this VM away with 503
@@ -140,14 +141,19 @@
 }
 
 func (v *storeView) seen(items []item) []item {
-	if v.rewrite == nil {
+	if v.rewrite == nil && v.rewritePeer == nil {
 		return items
 	}
 	out := make([]item, len(items))
 	for i, it := range items {
 		out[i] = it
+		// The system registers each VM under vms/ with its zone and address.
+		if zone, addr, ok := strings.Cut(string(it.Value), " "); ok && v.rewritePeer != nil && strings.Contains(it.Key, "/vms/") {
+			out[i].Value = []byte(zone + " " + v.rewritePeer(addr))
+			continue
+		}
 		var reg map[string]any
-		if !strings.HasPrefix(it.Key, "servers/") || json.Unmarshal(it.Value, &reg) != nil {
+		if v.rewrite == nil || !strings.HasPrefix(it.Key, "servers/") || json.Unmarshal(it.Value, &reg) != nil {
 			continue
 		}
 		reg["address"] = v.rewrite(reg["address"].(string))
