--- a/review/standin/leaving.go
+++ b/review/standin/leaving.go
@@ -20,7 +20,7 @@
 )
 
 // playLeaving has a replica leave as planned: it reports that it is draining, says so in all of
-// its answers, goes on for drainMs and a second, and ends. With trouble, one VM is cut off from
+// its answers, goes on for some seconds beyond drainMs, and ends. With trouble, one VM is cut off from
 // the store and all other VMs meanwhile.
 func playLeaving(d *deployment, trouble bool) (int, error) {
 	if err := startDesk(d, 3, 3, 300*time.Millisecond, []string{}); err != nil {
