Serve here again when no other VM can help any more

Callers of a VM that had been cut off got 502 ("the VM is cut off from the replicas") for each request, at once, although the VM heard replicas again.

Cause: the channel that has requests leave for another VM stayed closed from the first VM that could help until the end of the cut. When that VM was cut off too, each request left at once and found nobody.

Ruled out: attempts that fail at replicas (these were sound for a second; the request ended before any answer), and the budget of extra attempts.

--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -332,6 +332,31 @@
 		Expect(string(a.Serve(request("/x")).Reply.Body)).To(Equal("other"))
 	})
 
+	// Guards against requests that leave at once for VMs that can't help any more: after
+	// replicas had reset all requests for seconds, VMs refused sound ones with 502.
+	It("serves by itself when the VM that could help is cut off too", func() {
+		a, b := startVM("a", nil), startVM("b", nil)
+		know(a, b)
+		a.tier.setServe(func(req *direct.Request) *direct.Answer {
+			select {
+			case <-req.Leave:
+				return &direct.Answer{HandOver: &direct.HandOver{MaxAttempts: 1, Refusal: cutAnswer.Refusal}}
+			case <-time.After(50 * time.Millisecond):
+				return answered("a")(req)
+			}
+		})
+		a.tier.setCuts(reach.Cuts{All: true, Heard: true, Began: time.Now()})
+		time.Sleep(300 * time.Millisecond)
+		Expect(string(a.Serve(request("/x")).Reply.Body)).To(Equal("b"))
+		b.loseAll()
+		Eventually(func() string {
+			if reply := a.Serve(request("/x")).Reply; reply != nil {
+				return string(reply.Body)
+			}
+			return "refused"
+		}, "2s", "100ms").Should(Equal("a"))
+	})
+
 	It("refuses at once, as not run, when nobody reaches a replica, until one is heard", func() {
 		a, b := startVM("a", nil), startVM("b", nil)
 		know(a, b)
--- a/internal/handover/service.go
+++ b/internal/handover/service.go
@@ -190,19 +190,28 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.helpers.Clear()
-	if s.leaving {
-		s.leave, s.leaving = make(chan struct{}), false
-	}
+	s.stay()
 }
 
-// leaveReplicas has the requests that wait for replicas handed over, once the VM is cut
+// leaveReplicas has the requests that wait for replicas handed over while the VM is cut
 // off from all of them and another VM can help.
 func (s *Service) leaveReplicas(now time.Time, cuts reach.Cuts) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if cuts.All && !s.leaving && s.helpers.Any(now, func(map[string]bool) bool { return true }) {
+	leave := cuts.All && s.helpers.Any(now, func(map[string]bool) bool { return true })
+	switch {
+	case leave && !s.leaving:
 		s.leaving = true
 		close(s.leave)
+	case !leave:
+		s.stay()
+	}
+}
+
+// stay has the requests that follow wait for replicas here. s.mu is held.
+func (s *Service) stay() {
+	if s.leaving {
+		s.leave, s.leaving = make(chan struct{}), false
 	}
 }
 
