Count a lost connection as a crash only if its replica is gone

After replicas had reset part of their requests for 6.5 s, every VM refused a sound request that many callers send for five minutes.

Cause: a connection that was lost with a request in flight counted as a crash by that request. Three in a row without a success at one VM were a proof for all VMs; a request that is refused everywhere is never answered, so nothing could end the proof. DESIGN.md had weighed asking the replica and taken a false proof for the lesser harm.

Change: a loss counts at once, so that the next attempt is sent knowing of it, and is resolved 50 ms later by a connection to the replica: refused, timed out, or the replica has registered with another start time: a crash; else the loss is taken back. Only proven crashes are shared and refuse for minutes; three unproven ones refuse for 200 ms.

--- a/internal/decide/poison/ledger.go
+++ b/internal/decide/poison/ledger.go
@@ -6,6 +6,10 @@
 	"time"
 )
 
+// unprovenRetryAfter is when a request may come again that is refused because of losses
+// that are not resolved. They are within about this time.
+const unprovenRetryAfter = 200 * time.Millisecond
+
 // Ledger records, on one of several VMs, the requests that are suspected of
 // crashing upstreams. The VMs share their suspicions as Records, one per
 // fingerprint, that each VM reads and conditionally writes. It is not safe for
@@ -16,10 +20,18 @@
 // at the same time, or on several VMs that don't know of each other yet, count as
 // one, whatever the clocks say. The count of a record is the length of the longest
 // chain, so VMs combine their counts by taking the greater one.
+//
+// A lost connection may be a crash or not. It counts at once, since the next attempt
+// may crash the next replica, until Resolve tells which it was. Only crashes that are
+// proven are shared, or make a request refused for long.
 type Ledger struct {
 	suspicions map[uint64]*suspicion
+	lastLoss   LossID
 }
 
+// LossID identifies a lost connection that counts as a crash until it is resolved.
+type LossID uint64
+
 // Record is the shared state of one suspicion.
 type Record struct {
 	Crashes  int    // length of the longest chain of crashes
@@ -35,38 +47,72 @@
 
 // suspicion is what one VM knows of one fingerprint.
 type suspicion struct {
-	crashes int
-	since   time.Time // when crashes last changed
-	shared  Record    // the shared record as last read or written
-	due     bool      // crashes may be shared
+	proven   int       // crashes of the chain that are proven
+	unproven []LossID  // losses of the chain that may be crashes
+	since    time.Time // when the chain last changed
+	shared   Record    // the shared record as last read or written
+	due      bool      // proven may be shared
+}
+
+// length is the length of the chain if all losses are crashes.
+func (s *suspicion) length() int { return s.proven + len(s.unproven) }
+
+// reset ends the chain.
+func (s *suspicion) reset(now time.Time) {
+	s.proven, s.unproven, s.since, s.due = 0, nil, now, false
 }
 
 // NewLedger returns a ledger without suspicions.
 func NewLedger() *Ledger { return &Ledger{suspicions: map[uint64]*suspicion{}} }
 
-// RecordCrash records that a replica crashed while it had an attempt of a request
-// that was sent at sentAt. It reports whether the crash counts.
-func (l *Ledger) RecordCrash(now, sentAt time.Time, fp uint64) bool {
+// RecordLoss records that the connection of an attempt that was sent at sentAt was lost.
+// It counts as a crash until it is resolved. counted is false if it adds nothing to the
+// chain, whatever it was.
+func (l *Ledger) RecordLoss(now, sentAt time.Time, fp uint64) (id LossID, counted bool) {
 	s := l.suspicion(now, fp)
-	if s.crashes >= Threshold || s.crashes > 0 && sentAt.Before(s.since) {
-		return false
+	if s.length() >= Threshold || s.length() > 0 && sentAt.Before(s.since) {
+		return 0, false
 	}
-	s.crashes++
+	l.lastLoss++
+	s.unproven = append(s.unproven, l.lastLoss)
 	s.since = now
-	if s.crashes == Threshold {
-		s.due = true // attempts in flight may keep the request from ending
+	return l.lastLoss, true
+}
+
+// Resolve records whether a loss was a crash of the replica. It reports whether there is
+// something to share. A loss that was followed by an answer, or is part of a crash that
+// another VM has shared, is ignored.
+func (l *Ledger) Resolve(fp uint64, id LossID, crashed bool) bool {
+	s := l.suspicions[fp]
+	if s == nil {
+		return false
 	}
-	return true
+	i := slices.Index(s.unproven, id)
+	if i < 0 {
+		return false
+	}
+	s.unproven = slices.Delete(s.unproven, i, i+1)
+	switch {
+	case crashed:
+		s.proven++
+		if s.proven == Threshold {
+			s.due = true // attempts in flight may keep the request from ending
+		}
+	case s.length() == 0 && s.shared.Crashes == 0:
+		delete(l.suspicions, fp)
+	}
+	return s.due && s.proven != s.shared.Crashes
 }
 
 // RecordAnswer records that an attempt of a request was answered, which shows that
 // it crashes no upstream. It reports whether there was a suspicion.
 func (l *Ledger) RecordAnswer(now time.Time, fp uint64) bool {
 	s := l.suspicions[fp]
-	if s == nil || s.crashes == 0 {
+	if s == nil || s.length() == 0 {
 		return false
 	}
-	s.crashes, s.since, s.due = 0, now, true
+	s.reset(now)
+	s.due = true
 	if s.shared.Crashes == 0 {
 		delete(l.suspicions, fp)
 	}
@@ -82,15 +128,18 @@
 		return false
 	}
 	s.due = true
-	return s.crashes != s.shared.Crashes
+	return s.proven != s.shared.Crashes
 }
 
 // Refuse reports whether the request with a fingerprint must be refused, and for
-// how long.
+// how long: briefly while losses of its chain are not resolved.
 func (l *Ledger) Refuse(now time.Time, fp uint64) (time.Duration, bool) {
 	s := l.suspicions[fp]
-	if s == nil || s.crashes < Threshold || s.expired(now) {
+	switch {
+	case s == nil || s.length() < Threshold || s.expired(now):
 		return 0, false
+	case s.proven < Threshold:
+		return unprovenRetryAfter, true
 	}
 	return SuspicionTTL - now.Sub(s.since), true
 }
@@ -98,7 +147,7 @@
 // Crashes returns the number of crashes that count against a fingerprint.
 func (l *Ledger) Crashes(fp uint64) int {
 	if s := l.suspicions[fp]; s != nil {
-		return s.crashes
+		return s.length()
 	}
 	return 0
 }
@@ -110,16 +159,18 @@
 	if r.Revision <= s.shared.Revision {
 		return false
 	}
-	before := s.crashes
+	before := s.length()
 	if r.Crashes < s.shared.Crashes {
-		s.crashes = r.Crashes // another VM has seen an answer
+		s.proven, s.unproven = r.Crashes, nil // another VM has seen an answer
 	}
-	s.crashes = min(max(s.crashes, r.Crashes), Threshold)
-	if s.crashes != before {
+	length := max(s.length(), min(r.Crashes, Threshold))
+	s.proven = min(max(s.proven, r.Crashes), Threshold)
+	s.unproven = s.unproven[s.length()-length:] // what the record has is among these
+	if s.length() != before {
 		s.since = now
 	}
 	s.shared = r
-	return before < Threshold && s.crashes == Threshold
+	return before < Threshold && s.length() == Threshold
 }
 
 // Remove records that the shared record of a fingerprint was deleted at a revision:
@@ -149,8 +200,8 @@
 		switch {
 		case s.expired(now):
 			delete(l.suspicions, fp)
-		case s.due && s.crashes != s.shared.Crashes:
-			out = append(out, Write{Fingerprint: fp, Crashes: s.crashes, Expect: s.shared.Revision})
+		case s.due && s.proven != s.shared.Crashes:
+			out = append(out, Write{Fingerprint: fp, Crashes: s.proven, Expect: s.shared.Revision})
 		}
 	}
 	slices.SortFunc(out, func(a, b Write) int {
@@ -167,7 +218,7 @@
 func (l *Ledger) suspicion(now time.Time, fp uint64) *suspicion {
 	s := l.suspicions[fp]
 	if s != nil && s.expired(now) {
-		s.crashes, s.since, s.due = 0, now, false
+		s.reset(now)
 	}
 	if s == nil {
 		if len(l.suspicions) >= maxSuspects {
@@ -185,7 +236,7 @@
 	var victim uint64
 	var least *suspicion
 	for fp, s := range l.suspicions {
-		if least == nil || cmp.Or(cmp.Compare(s.crashes, least.crashes), s.since.Compare(least.since), cmp.Compare(fp, victim)) < 0 {
+		if least == nil || cmp.Or(cmp.Compare(s.length(), least.length()), s.since.Compare(least.since), cmp.Compare(fp, victim)) < 0 {
 			victim, least = fp, s
 		}
 	}
--- a/internal/decide/poison/ledger_test.go
+++ b/internal/decide/poison/ledger_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -13,22 +14,43 @@
 // at returns a time in milliseconds after begin.
 func at(ms int) time.Time { return begin.Add(time.Duration(ms) * time.Millisecond) }
 
+// crash records a lost connection and that its replica crashed. It reports whether the
+// crash counts.
+func crash(l *poison.Ledger, now, sentAt time.Time, fp uint64) bool {
+	id, counted := l.RecordLoss(now, sentAt, fp)
+	if counted {
+		l.Resolve(fp, id, true)
+	}
+	return counted
+}
+
 // crashChain records a chain of n crashes, ten milliseconds apart.
 func crashChain(l *poison.Ledger, fp uint64, from, n int) {
 	for i := range n {
-		l.RecordCrash(at(from+10*i+5), at(from+10*i), fp)
+		crash(l, at(from+10*i+5), at(from+10*i), fp)
+	}
+}
+
+// lossChain records a chain of n losses that are not resolved.
+func lossChain(l *poison.Ledger, fp uint64, from, n int) []poison.LossID {
+	var ids []poison.LossID
+	for i := range n {
+		id, counted := l.RecordLoss(at(from+10*i+5), at(from+10*i), fp)
+		Expect(counted).To(BeTrue())
+		ids = append(ids, id)
 	}
+	return ids
 }
 
 var _ = Describe("Ledger", func() {
 	It("counts a retry that crashes the next replica at once, but simultaneous crashes once", func() {
 		l := poison.NewLedger()
 		for range 10 { // the shards of one query
-			l.RecordCrash(at(5), at(0), bad)
+			crash(l, at(5), at(0), bad)
 		}
 		Expect(l.Crashes(bad)).To(Equal(1))
-		Expect(l.RecordCrash(at(9), at(6), bad)).To(BeTrue())
-		Expect(l.RecordCrash(at(12), at(10), bad)).To(BeTrue())
+		Expect(crash(l, at(9), at(6), bad)).To(BeTrue())
+		Expect(crash(l, at(12), at(10), bad)).To(BeTrue())
 		Expect(refused(l, at(13), bad)).To(BeTrue())
 		Expect(refused(l, at(13), harmless)).To(BeFalse())
 	})
@@ -86,56 +108,162 @@
 		l := poison.NewLedger()
 		crashChain(l, bad, 0, 3)
 		for i := range 5000 {
-			l.RecordCrash(at(100+i), at(100+i), uint64(1000+i))
+			crash(l, at(100+i), at(100+i), uint64(1000+i))
 		}
 		Expect(refused(l, at(6000), bad)).To(BeTrue())
 		Expect(l.Len()).To(BeNumerically("<=", 512))
 	})
 
+	// Guards against the failure of review/4: replicas that reset connections, but did not
+	// crash, had a request that many callers send refused by all VMs for minutes.
+	It("counts a lost connection until its replica is known to have survived, and shares none", func() {
+		l := poison.NewLedger()
+		ids := lossChain(l, bad, 0, 3)
+		l.RecordEnd(bad)
+		wait, yes := l.Refuse(at(40), bad)
+		Expect(yes).To(BeTrue(), "the next attempt might crash the next replica")
+		Expect(wait).To(BeNumerically("<", time.Second))
+		Expect(l.Pending(at(40), 9)).To(BeEmpty())
+		for _, id := range ids {
+			Expect(l.Resolve(bad, id, false)).To(BeFalse())
+		}
+		Expect(refused(l, at(41), bad)).To(BeFalse())
+		Expect(l.Len()).To(BeZero())
+	})
+
+	It("counts the crashes among the losses of a chain, and shares them once they are proven", func() {
+		l := poison.NewLedger()
+		ids := lossChain(l, bad, 0, 3)
+		l.RecordEnd(bad)
+		Expect(l.Resolve(bad, ids[1], false)).To(BeFalse())
+		Expect(l.Resolve(bad, ids[0], true)).To(BeTrue())
+		Expect(l.Resolve(bad, ids[0], true)).To(BeFalse(), "resolved already")
+		Expect(l.Resolve(bad, ids[2], true)).To(BeTrue())
+		Expect(l.Pending(at(50), 9)).To(Equal([]poison.Write{{Fingerprint: bad, Crashes: 2}}))
+		Expect(refused(l, at(50), bad)).To(BeFalse())
+		crashChain(l, bad, 60, 1)
+		wait, _ := l.Refuse(at(70), bad)
+		Expect(wait).To(BeNumerically(">", time.Minute))
+	})
+
+	It("ignores what becomes of a loss after an answer", func() {
+		l := poison.NewLedger()
+		old := lossChain(l, bad, 0, 1)[0]
+		Expect(l.RecordAnswer(at(20), bad)).To(BeTrue())
+		lossChain(l, bad, 30, 1)
+		Expect(l.Resolve(bad, old, true)).To(BeFalse())
+		Expect(l.Crashes(bad)).To(Equal(1))
+	})
+
+	It("takes a loss for part of what other VMs have counted", func() {
+		l := poison.NewLedger()
+		ids := lossChain(l, bad, 0, 2)
+		l.Merge(at(30), bad, poison.Record{Crashes: 1, Revision: 5})
+		Expect(l.Crashes(bad)).To(Equal(2))
+		l.Merge(at(31), bad, poison.Record{Crashes: 2, Revision: 6})
+		Expect(l.Crashes(bad)).To(Equal(2))
+		for _, id := range ids {
+			Expect(l.Resolve(bad, id, false)).To(BeFalse())
+		}
+		Expect(l.Crashes(bad)).To(Equal(2), "the crashes of other VMs stay")
+	})
+
 	// Three crashes, and the three retries that the platform allows afterwards.
 	It("refuses a request on every VM after six rounds at most, although VMs learn of the crashes late", func() {
 		for seed := range uint64(300) {
-			w := &sharedWorld{rng: rand.New(rand.NewPCG(seed, 1)), record: map[uint64]poison.Record{}}
-			for range 8 {
-				w.ledgers = append(w.ledgers, poison.NewLedger())
-			}
-			rounds := w.play()
+			w := newSharedWorld(seed)
+			rounds, _ := w.play(func() int { return 60 })
 			Expect(rounds).To(BeNumerically("<=", poison.Threshold+3), "seed %d", seed)
-			for _, l := range w.ledgers {
-				Expect(refused(l, at(w.now), bad)).To(BeTrue(), "seed %d", seed)
-			}
+			w.expectRefusedEverywhere()
+		}
+	})
+
+	It("lets it reach replicas in three rounds at most later than four seconds after the third crash, although checks of replicas hang", func() {
+		for seed := range uint64(300) {
+			w := newSharedWorld(seed)
+			_, late := w.play(func() int { return 50 + w.rng.IntN(1100) })
+			Expect(late).To(BeNumerically("<=", 3), "seed %d", seed)
+			w.expectRefusedEverywhere()
 		}
 	})
 })
 
+// check is a loss whose replica is being checked.
+type check struct {
+	ledger *poison.Ledger
+	id     poison.LossID
+	due    int // time of its end
+}
+
 // sharedWorld is VMs that share one record. In each round a bad request reaches a
 // VM; between rounds, writes and watches take effect in random order.
 type sharedWorld struct {
+	seed     uint64
 	rng      *rand.Rand
 	ledgers  []*poison.Ledger
+	checks   []check
 	record   map[uint64]poison.Record
 	revision uint64
 	now      int
 }
 
-// play returns the number of rounds in which the request reached replicas.
-func (w *sharedWorld) play() (rounds int) {
-	for range 40 {
+func newSharedWorld(seed uint64) *sharedWorld {
+	w := &sharedWorld{seed: seed, rng: rand.New(rand.NewPCG(seed, 1)), record: map[uint64]poison.Record{}}
+	for range 8 {
+		w.ledgers = append(w.ledgers, poison.NewLedger())
+	}
+	return w
+}
+
+// play returns the number of rounds in which the request reached replicas, and how many of
+// these were later than four seconds after the third. checkTime returns how long the next
+// check of a replica takes, in milliseconds.
+func (w *sharedWorld) play(checkTime func() int) (rounds, late int) {
+	third := 0
+	for range 60 {
 		w.now += 250
+		w.endChecks()
 		l := w.ledgers[w.rng.IntN(len(w.ledgers))]
 		if !refused(l, at(w.now), bad) {
-			rounds++
+			if rounds++; rounds == 3 {
+				third = w.now
+			}
+			if third > 0 && w.now > third+4000 {
+				late++
+			}
 			for range 4 { // the parts of one query crash together
-				l.RecordCrash(at(w.now+5), at(w.now), bad)
+				if id, counted := l.RecordLoss(at(w.now+5), at(w.now), bad); counted {
+					w.checks = append(w.checks, check{l, id, w.now + checkTime()})
+				}
 			}
 			l.RecordEnd(bad)
 		}
+		w.now += 60
+		w.endChecks()
 		for range 1 + w.rng.IntN(3) {
 			w.spread(0.6)
 		}
 	}
 	w.spread(1)
-	return rounds
+	return rounds, late
+}
+
+// endChecks ends the checks that are due, of replicas that have crashed.
+func (w *sharedWorld) endChecks() {
+	w.checks = slices.DeleteFunc(w.checks, func(c check) bool {
+		if w.now < c.due {
+			return false
+		}
+		c.ledger.Resolve(bad, c.id, true)
+		return true
+	})
+}
+
+func (w *sharedWorld) expectRefusedEverywhere() {
+	GinkgoHelper()
+	for _, l := range w.ledgers {
+		Expect(refused(l, at(w.now), bad)).To(BeTrue(), "seed %d", w.seed)
+	}
 }
 
 // spread makes the pending writes of all VMs, and lets each VM read the record with
--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -258,29 +258,6 @@
 	}
 }
 
-// observeCrash records whether the request may have crashed the replica: its
-// connection was lost after the request may have been executed. Only a success is
-// proof of the contrary, since a replica that fails for other reasons may reply with
-// an error before it executes the request. s.mu is held.
-func (a *attempt) observeCrash(now time.Time) {
-	s, w, fp := a.call.s, &a.wire, a.call.fingerprint
-	switch {
-	case w.Reply != nil && w.Reply.OK():
-		if s.suspects.RecordAnswer(now, fp) {
-			s.metrics.add("suspect_answered", 1)
-			s.suspectLine(a).Int("status", w.Reply.Status).Msg("suspicion ended by an answer")
-		}
-	case w.Err != nil && w.Err.Cause == verdict.ConnectionLost && w.Err.Outcome == verdict.MayHaveRun:
-		counted := s.suspects.RecordCrash(now, w.SentAt, fp)
-		if a.call.unanswered {
-			s.suspects.RecordEnd(fp)
-		}
-		_, refused := s.suspects.Refuse(now, fp)
-		s.metrics.add("suspect_crash", 1)
-		s.suspectLine(a).Bool("counted", counted).Bool("refused", refused).Msg("connection lost with this request in flight")
-	}
-}
-
 // handleResult applies the result of an attempt to the call.
 func (c *call) handleResult(a *attempt) {
 	for i, x := range c.inFlight {
--- a/internal/direct/log.go
+++ b/internal/direct/log.go
@@ -24,13 +24,6 @@
 	e.Msg("request refused before any attempt")
 }
 
-// suspectLine begins a log line on the suspicion against the request of an attempt,
-// with the crashes counted so far. s.mu is held.
-func (s *Service) suspectLine(a *attempt) *zerolog.Event {
-	return s.log.Info("suspect").Str("id", a.call.req.ID).Str("upstream", a.replica.status.ID).Stringer("extra", a.kind).
-		Uint64("fingerprint", a.call.fingerprint).Int("crashes", s.suspects.Crashes(a.call.fingerprint))
-}
-
 // logUnsent logs that a planned attempt was not sent. s.mu is held.
 func (s *Service) logUnsent(c *call, p *pool, r *replica, planned gather.Attempt, now time.Time, reason string) {
 	s.metrics.add("unsent_"+planned.Kind.String(), 1)
--- a/internal/direct/upstreams.go
+++ b/internal/direct/upstreams.go
@@ -28,6 +28,7 @@
 	limit       *upstreamlimit.Limit   // that it names itself
 	ranking     *upstreamlimit.Ranking // of the VMs that share limit; nil: not computed yet
 	inFlight    int                    // attempts that have not ended
+	losses      []loss                 // connections that were lost, until they are resolved
 }
 
 // pool is the replicas of one pool and their budget of extra attempts.
--- a/internal/suspects/board.go
+++ b/internal/suspects/board.go
@@ -17,16 +17,21 @@
 // NewBoard returns a board without suspicions.
 func NewBoard() *Board { return &Board{ledger: poison.NewLedger(), wake: make(chan struct{}, 1)} }
 
-// RecordCrash records that a replica crashed while it had an attempt of a request
-// that was sent at sentAt. It reports whether the crash counts.
-func (b *Board) RecordCrash(now, sentAt time.Time, fp uint64) bool {
+// RecordLoss records that the connection of an attempt of a request, sent at sentAt, was
+// lost. If counted is true, Resolve has to be called.
+func (b *Board) RecordLoss(now, sentAt time.Time, fp uint64) (id poison.LossID, counted bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	counted := b.ledger.RecordCrash(now, sentAt, fp)
-	if counted && b.ledger.Crashes(fp) == poison.Threshold {
+	return b.ledger.RecordLoss(now, sentAt, fp)
+}
+
+// Resolve records whether a loss that counts was a crash of the replica.
+func (b *Board) Resolve(fp uint64, id poison.LossID, crashed bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.ledger.Resolve(fp, id, crashed) {
 		b.notify()
 	}
-	return counted
 }
 
 // RecordAnswer records that an attempt of a request was answered. It reports
--- a/internal/suspects/share_test.go
+++ b/internal/suspects/share_test.go
@@ -125,7 +125,9 @@
 // crash records one more crash of the bad request, which then ends.
 func crash(b *suspects.Board) {
 	now := time.Now()
-	Expect(b.RecordCrash(now.Add(time.Millisecond), now, bad)).To(BeTrue())
+	id, counted := b.RecordLoss(now.Add(time.Millisecond), now, bad)
+	Expect(counted).To(BeTrue())
+	b.Resolve(bad, id, true)
 	time.Sleep(2 * time.Millisecond)
 	b.RecordEnd(bad)
 }
