--- a/internal/decide/poison/ledger.go
+++ b/internal/decide/poison/ledger.go
@@ -24,8 +24,12 @@
 // A lost connection may be a crash or not. It counts at once, since the next attempt
 // may crash the next replica, until Resolve tells which it was. Only crashes that are
 // proven are shared, or make a request refused for long.
+//
+// A request that is answered here again and again crashes nothing, although it may be in
+// flight at each crash that another one causes.
 type Ledger struct {
 	suspicions map[uint64]*suspicion
+	answers    answers
 	lastLoss   LossID
 }
 
@@ -63,12 +67,17 @@
 }
 
 // NewLedger returns a ledger without suspicions.
-func NewLedger() *Ledger { return &Ledger{suspicions: map[uint64]*suspicion{}} }
+func NewLedger() *Ledger {
+	return &Ledger{suspicions: map[uint64]*suspicion{}, answers: newAnswers()}
+}
 
 // RecordLoss records that the connection of an attempt that was sent at sentAt was lost.
 // It counts as a crash until it is resolved. counted is false if it adds nothing to the
-// chain, whatever it was.
+// chain, whatever it was, or if the request was answered lately.
 func (l *Ledger) RecordLoss(now, sentAt time.Time, fp uint64) (id LossID, counted bool) {
+	if l.answers.recently(now, fp) {
+		return 0, false
+	}
 	s := l.suspicion(now, fp)
 	if s.length() >= Threshold || s.length() > 0 && sentAt.Before(s.since) {
 		return 0, false
@@ -107,6 +116,7 @@
 // RecordAnswer records that an attempt of a request was answered, which shows that
 // it crashes no upstream. It reports whether there was a suspicion.
 func (l *Ledger) RecordAnswer(now time.Time, fp uint64) bool {
+	l.answers.record(now, fp)
 	s := l.suspicions[fp]
 	if s == nil || s.length() == 0 {
 		return false
