Stop using a replica that says in its answers that it leaves

A VM that was cut off from the store sent orders to a leaving replica until it ended; those in flight were lost.

Cause: Server-Leaving was not decoded, so the store was the only source for a leave.

Ruled out: a grace period that is too long (2 s of the 3 s or more that the platform allows), and requests that wait for a connection (they are placed anew when the replica is dropped).

The drawn schedules of decide/discovery now include answers.

Suspected, not shown: a VM doesn't learn which replica leaves from an answer that another VM fetched for it.

--- a/internal/connpool/attempt.go
+++ b/internal/connpool/attempt.go
@@ -40,6 +40,7 @@
 	// Misdirected states that another replica answers at this address. NotRun is
 	// then set too.
 	Misdirected bool
+	Leaving     bool // the replica states that it wants no more requests and ends soon
 	Load        Load
 	HasLoad     bool
 	Notice      upstreamlimit.Notice
--- a/internal/decide/discovery/discovery.go
+++ b/internal/decide/discovery/discovery.go
@@ -64,8 +64,11 @@
 	revision   uint64
 	valid      bool
 	present    bool
-	graceStart time.Time // when this process observed that it is draining or was removed; zero: active
+	graceStart time.Time // when this process observed that it is draining, leaving or was removed; zero: active
 	coldEnd    time.Time
+	// leaving states that the upstream itself has said, in an answer, that it leaves. It
+	// ends with the incarnation, whatever the store says of it.
+	leaving bool
 	// outdated states that the store has only a registration that precedes the
 	// recorded one, as after its return from an older copy.
 	outdated bool
@@ -98,12 +101,14 @@
 		m.records[reg.Key] = r
 	}
 	before := *r
+	r.leaving = r.leaving && !r.isNextIncarnation(reg)
 	r.revision, r.present, r.valid, r.outdated = reg.Revision, true, reg.Valid, false
 	if reg.Valid {
 		r.up, r.sequence = reg.Upstream, reg.Sequence
 		r.coldEnd = now.Add(reg.Upstream.ColdLeft)
 	}
 	switch {
+	case r.leaving: // graceStart is set
 	case reg.Valid && !reg.Upstream.Draining:
 		r.graceStart = time.Time{}
 	case r.graceStart.IsZero():
@@ -112,6 +117,33 @@
 	return before.up != r.up || before.valid != r.valid || before.present != r.present
 }
 
+// isNextIncarnation reports whether a registration is of another incarnation of the
+// upstream than the recorded one. Without start times, one that returns after its removal
+// counts as such.
+func (r *record) isNextIncarnation(reg Registration) bool {
+	switch {
+	case !reg.Valid:
+		return false
+	case reg.Upstream.Start == 0 && r.up.Start == 0 && !r.present:
+		return true
+	}
+	return reg.Upstream.Start != r.up.Start || reg.Upstream.Addr != r.up.Addr
+}
+
+// Leaving records that an incarnation of an upstream has said in an answer that it leaves.
+// It reports whether that is new. An incarnation that isn't the recorded one is ignored.
+func (m *Machine) Leaving(now time.Time, key string, start int64) bool {
+	r := m.records[key]
+	if r == nil || r.up.Start != start || r.leaving {
+		return false
+	}
+	r.leaving = true
+	if r.graceStart.IsZero() {
+		r.graceStart = now
+	}
+	return true
+}
+
 // isOutdated reports whether a registration precedes what is recorded. After a
 // restore of the store, the last registration of a removed upstream may be there
 // again too.
@@ -181,7 +213,7 @@
 	}
 	m.storeUnavailable = false
 	for _, r := range m.records {
-		if !r.present && !r.graceOver(now) {
+		if !r.present && !r.leaving && !r.graceOver(now) {
 			r.graceStart = now
 		}
 	}
@@ -194,6 +226,7 @@
 // Status is the current state of one upstream.
 type Status struct {
 	Upstream
+	Key     string // of its registration
 	State   State
 	ColdEnd time.Time // the upstream is cold until then
 }
@@ -214,7 +247,7 @@
 		if r.up.ID == "" {
 			continue
 		}
-		st := Status{Upstream: r.up, ColdEnd: r.coldEnd}
+		st := Status{Upstream: r.up, Key: key, ColdEnd: r.coldEnd}
 		if !r.graceStart.IsZero() {
 			st.State = LastResort
 			end := r.graceStart.Add(GracePeriod)
--- a/internal/decide/discovery/discovery_test.go
+++ b/internal/decide/discovery/discovery_test.go
@@ -101,4 +101,55 @@
 		_, wake = m.Usable(begin)
 		Expect(wake).To(Equal(at(discovery.GracePeriod)))
 	})
+
+	It("takes the word of an upstream that it leaves for the rest of its incarnation, whatever the store says", func() {
+		m := discovery.New()
+		e := registration("a", 1)
+		e.Upstream.Start = 1000
+		m.Put(begin, e)
+		m.StoreUnavailable()
+		Expect(m.Leaving(at(0), "k/a", 999)).To(BeFalse(), "another incarnation said so")
+		Expect(states(m, at(0))).To(HaveKeyWithValue("a", discovery.Active))
+		Expect(m.Leaving(at(0), "k/a", 1000)).To(BeTrue())
+		Expect(m.Leaving(at(time.Second), "k/a", 1000)).To(BeFalse(), "known")
+		Expect(states(m, at(time.Second))).To(HaveKeyWithValue("a", discovery.LastResort))
+		Expect(states(m, at(discovery.GracePeriod))).To(BeEmpty())
+
+		m.StoreAvailable(at(3 * time.Second))
+		e.Revision = 2
+		m.Put(at(3*time.Second), e)
+		m.Remove(at(4*time.Second), "k/a", 3)
+		e.Revision = 4
+		m.Put(at(5*time.Second), e)
+		Expect(states(m, at(5*time.Second))).To(BeEmpty())
+
+		e.Revision, e.Upstream.Start = 5, 2000
+		m.Put(at(6*time.Second), e)
+		Expect(states(m, at(6*time.Second))).To(HaveKeyWithValue("a", discovery.Active))
+	})
+
+	It("does not prolong the grace period of a leaving upstream by an outage or a later word of the store", func() {
+		m := discovery.New()
+		m.Put(begin, registration("a", 1))
+		m.StoreUnavailable()
+		m.Leaving(at(0), "k/a", 0)
+		m.Remove(at(time.Second), "k/a", 2)
+		m.StoreAvailable(at(1500 * time.Millisecond))
+		Expect(states(m, at(1900*time.Millisecond))).To(HaveKeyWithValue("a", discovery.LastResort))
+		Expect(states(m, at(discovery.GracePeriod))).To(BeEmpty())
+	})
+
+	It("uses an upstream without a start time again when it registers after its removal, or at another address", func() {
+		m := discovery.New()
+		for _, id := range []string{"a", "b"} {
+			m.Put(begin, registration(id, 1))
+			m.Leaving(at(0), "k/"+id, 0)
+		}
+		m.Remove(at(time.Second), "k/a", 2)
+		m.Put(at(5*time.Second), registration("a", 3))
+		moved := registration("b", 4)
+		moved.Upstream.Addr = "127.0.0.1:2"
+		m.Put(at(5*time.Second), moved)
+		Expect(states(m, at(5*time.Second))).To(Equal(map[string]discovery.State{"a": discovery.Active, "b": discovery.Active}))
+	})
 })
--- a/internal/decide/discovery/era_test.go
+++ b/internal/decide/discovery/era_test.go
@@ -94,7 +94,7 @@
 	write()
 	for range 30 {
 		now = now.Add(time.Duration(rng.IntN(1500)) * time.Millisecond)
-		switch rng.IntN(5) {
+		switch rng.IntN(6) {
 		case 0:
 			draining = true
 			write()
@@ -111,6 +111,12 @@
 		case 4:
 			m.Put(now, last())
 			known = known || last().Upstream.Draining
+		case 5: // an answer
+			if draining {
+				m.Leaving(now, "k/a", 1000)
+				_, listed := states(m, now)["a"]
+				known = known || listed
+			}
 		}
 		if state, usable := states(m, now)["a"]; known && usable {
 			Expect(state).To(Equal(discovery.LastResort), "seed %d", seed)
--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -229,6 +229,7 @@
 	a.settle(now)
 	a.observePath(now)
 	s.observeNotice(now, a)
+	s.observeLeaving(now, a)
 	if w.Reply != nil && w.Reply.HasLoad {
 		l := w.Reply.Load
 		obs.ObserveLoad(now, l.Running, l.Waiting, l.Slots)
--- a/internal/direct/upstreams.go
+++ b/internal/direct/upstreams.go
@@ -111,6 +111,22 @@
 	s.requestRefresh()
 }
 
+// observeLeaving records that a replica has said in an answer that it leaves, which holds
+// also while the store doesn't say so or can't be read. s.mu is held.
+func (s *Service) observeLeaving(now time.Time, a *attempt) {
+	w, st := &a.wire, &a.replica.status
+	if w.Reply == nil || !w.Reply.Leaving || w.Reply.Misdirected {
+		return // a misdirected attempt is answered by another upstream
+	}
+	if !s.upstreams.Leaving(now, st.Key, st.Start) {
+		return
+	}
+	s.metrics.add("upstreams_leaving", 1)
+	s.log.Info("upstreams").Str("id", a.call.req.ID).Str("upstream", st.ID).Str("pool", st.Pool).Int("in_flight", a.replica.inFlight).
+		Bool("store_available", s.unavailableSince.IsZero()).Msg("upstream says in an answer that it leaves; it is a last resort until its grace period is over")
+	s.requestRefresh()
+}
+
 // SetZonesOutOfService sets the availability zones that are out of service, as read
 // at a revision of the store. Their replicas receive no new requests.
 func (s *Service) SetZonesOutOfService(out map[string]bool, revision uint64) {
