--- a/internal/decide/poison/doc.go
+++ b/internal/decide/poison/doc.go
@@ -8,7 +8,9 @@
 // owner since.
 //
 // On the direct path each VM keeps a Ledger, and the VMs share their suspicions
-// through the store. A request is refused only after a chain of Threshold crashes,
-// each caused by an attempt that was sent after the crash before it was known, and
-// with no attempt of it answered since at a VM that knew of them.
+// through the store. A request is refused for long only after a chain of Threshold
+// crashes, each caused by an attempt that was sent after the crash before it was
+// known, and with no attempt of it answered since at a VM that knew of them. A lost
+// connection is a crash only if the replica is gone afterwards, and not that of a
+// request that was answered just before.
 package poison
