--- a/review/standin-2/stale.go
+++ b/review/standin-2/stale.go
@@ -13,18 +13,18 @@
 
 // The plan of the case.
 const (
-	stalePerS     = 10.0 // requests a second at each VM
-	staleChange   = 4 * time.Second
+	stalePerS     = 10.0        // requests a second at each VM
+	staleFirst    = time.Second // of a version after which VMs read through relays
+	staleChange   = 5 * time.Second
 	staleLength   = 18 * time.Second
 	staleDeadline = 3 * time.Second
 	staleWork     = 20 * time.Millisecond
 	configApply   = 3 * time.Second
-	laterService  = "nyka74d" // to which the second version moves the route
+	laterService  = "nyka74d" // to which version 5 moves the routes
 )
 
-// staleConfig is the first version of the configuration, or the second, which moves the
-// route to another service.
-func staleConfig(second bool) []byte {
+// staleConfig is a version of the configuration that sends requests to one of two services.
+func staleConfig(version int, to string) []byte {
 	c := deskConfig()
 	service := c["services"].([]any)[0].(map[string]any)
 	later := map[string]any{}
@@ -33,11 +33,9 @@
 	}
 	later["name"] = laterService
 	c["services"] = []any{service, later}
-	if second {
-		c["version"] = 5
-		for _, r := range c["routes"].([]any) {
-			r.(map[string]any)["service"] = laterService
-		}
+	c["version"] = version
+	for _, r := range c["routes"].([]any) {
+		r.(map[string]any)["service"] = to
 	}
 	text, _ := json.Marshal(c)
 	return text
@@ -57,7 +55,7 @@
 		return false, err
 	}
 	defer d.close()
-	d.store.put("op/config", staleConfig(false))
+	d.store.put("op/config", staleConfig(3, serviceName))
 	if err := d.startVMsIn(7, 1, 1); err != nil {
 		return false, err
 	}
@@ -96,8 +94,11 @@
 			}
 		})
 	}
+	time.Sleep(staleFirst - time.Since(begin))
+	d.store.put("op/config", staleConfig(4, serviceName))
+	rec.say("version 4 is acknowledged: the route stays as it is")
 	time.Sleep(staleChange - time.Since(begin))
-	config := item{Key: "op/config", Value: staleConfig(true)}
+	config := item{Key: "op/config", Value: staleConfig(5, laterService)}
 	mu.Lock()
 	if trouble {
 		d.store.putAll(item{Key: "op/evacuate/" + zones[2], Value: []byte(`{}`)}, config)
@@ -106,11 +107,11 @@
 	}
 	changed = time.Now()
 	mu.Unlock()
-	rec.say("version 5 is acknowledged: the route goes to %s", laterService)
+	rec.say("version 5 is acknowledged: the routes go to %s", laterService)
 	wg.Wait()
 	for _, v := range d.vms {
 		if late[v.name] > 0 {
-			rec.say("%s: %d requests that were sent later than configApplyMs ran at the service of version 3", v.name, late[v.name])
+			rec.say("%s: %d requests that were sent later than configApplyMs ran at the service of version 4", v.name, late[v.name])
 		}
 	}
 	rec.say("%d requests, %d served, %d run by the older version, the last ones %.0f s after the new one", all, good, bad, (staleLength - staleChange).Seconds())
