Crowds of clients: memory that the kernel holds, requests asked once, all addresses

What a process takes of its machine includes what the kernel holds for its connections: received and not read, or sent and not acknowledged. The crowd specs counted resident memory only. They also asked until a request was served, and knew one address of one program.

test/crowd has the clients and samples resident memory, both queues of all connections (also of those that are not accepted yet) and descriptors. The ordinary request is asked once beside the crowd and once after it has left. The crowds that were there keep their sizes and bounds. New: requests in a row without reading, parts of bodies, a stopped process, resets in a row, limits that change, three VMs, the addresses of readiness and of the counters, settings without memory and descriptors, and sw-entry.

--- a/test/process/system_test.go
+++ b/test/process/system_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"time"
 
@@ -55,6 +56,8 @@
 	kv          string
 	admin       string
 	entries     []string
+	entryAdmins []string
+	deadline    time.Duration // of requests
 	args        map[string][]string
 	running     map[string]*exec.Cmd
 	numRequests int
@@ -62,8 +65,12 @@
 
 // newSystem builds the programs, writes their configuration, starts the processes and
 // applies the tables.
-func newSystem() *system {
-	s := &system{dir: GinkgoT().TempDir(), args: map[string][]string{}, running: map[string]*exec.Cmd{}}
+func newSystem() *system { return newSystemWith(deadline, "") }
+
+// newSystemWith is newSystem with another deadline of requests, and further lines of the
+// settings' section [entry].
+func newSystemWith(deadline time.Duration, entrySettings string) *system {
+	s := &system{deadline: deadline, dir: GinkgoT().TempDir(), args: map[string][]string{}, running: map[string]*exec.Cmd{}}
 	build := exec.Command("go", "build", "-o", s.dir, "./cmd/sw-entry", "./cmd/sw-egress", "./cmd/sw-control", "./cmd/swctl", "./cmd/sw-standin")
 	build.Dir = "../.."
 	out, err := build.CombinedOutput()
@@ -74,7 +81,7 @@
 		Expect(err).NotTo(HaveOccurred())
 		return a
 	}
-	text, err := deployment.RenderTables(routesText, pools, zones, func(string) (string, error) { return addrs.Next() })
+	text, err := deployment.RenderTables(strings.ReplaceAll(routesText, "300ms", deadline.String()), pools, zones, func(string) (string, error) { return addrs.Next() })
 	Expect(err).NotTo(HaveOccurred())
 	s.tables, err = tables.Parse(tables.Source{Name: "tables.ini", Text: text})
 	Expect(err).NotTo(HaveOccurred())
@@ -84,10 +91,10 @@
 	standinArgs := []string{"sw-standin", "--tables", s.path("tables.ini"), "--kv", s.kv, "--vms", vms, "--admin", s.admin}
 	for i, zone := range zones {
 		id := fmt.Sprintf("vm-%d", i+1)
-		entry, control := next(), next()
-		s.entries = append(s.entries, entry)
-		s.writeFile(id+".ini", fmt.Sprintf("[node]\nid = %s\nzone = %s\ngrace = 2s\n[entry]\nlisten = %s\nadmin = %s\n[egress]\nlisten = %s\nadmin = %s\n[control]\nlisten = %s\nadmin = %s\n[platform]\nkv = %s\nvms = %s\n",
-			id, zone, entry, next(), next(), next(), control, next(), s.kv, vms))
+		entry, entryAdmin, control := next(), next(), next()
+		s.entries, s.entryAdmins = append(s.entries, entry), append(s.entryAdmins, entryAdmin)
+		s.writeFile(id+".ini", fmt.Sprintf("[node]\nid = %s\nzone = %s\ngrace = 2s\n[entry]\nlisten = %s\nadmin = %s\n%s[egress]\nlisten = %s\nadmin = %s\n[control]\nlisten = %s\nadmin = %s\n[platform]\nkv = %s\nvms = %s\n",
+			id, zone, entry, entryAdmin, entrySettings, next(), next(), control, next(), s.kv, vms))
 		for _, program := range []string{"sw-control", "sw-egress", "sw-entry"} {
 			s.args[program+" "+id] = []string{program, "--config", s.path(id + ".ini"), "--log-format", "console"}
 		}
@@ -206,7 +213,7 @@
 
 // runPlan sends the requests of a plan and checks that no promise is broken.
 func (s *system) runPlan(plan []load.Request, entries []string) []load.CheckedResult {
-	runner := &load.Runner{Routes: routes, Deadline: deadline}
+	runner := &load.Runner{Routes: routes, Deadline: s.deadline}
 	runner.SetTargets(entries)
 	results := runner.Run(GinkgoT().Context(), plan)
 	checker := &load.Checker{Tables: s.tables, Source: evenLayout{s.tables}, Records: s.records()}
