Connections to replicas: take the write deadline of a large request back

What callers saw: after requests with large bodies or heads, ordinary ones got 503 "write: ... i/o timeout" (connection-lost), without load; after a crowd all kept connections were such. The replica was charged with a failure.

Cause: a large request is written with its own deadline, which stayed on the connection. The first request after that time failed unsent.

Evidence: the new spec fails on the code before with that error (both ways of writing a large request). Now the deadline ends with the write.

--- a/internal/connpool/conn.go
+++ b/internal/connpool/conn.go
@@ -69,6 +69,7 @@
 func (c *conn) writeBytes(a *Attempt, buf []byte) {
 	if len(buf) >= largeRequestSize {
 		_ = c.nc.SetWriteDeadline(a.Deadline)
+		defer func() { _ = c.nc.SetWriteDeadline(time.Time{}) }()
 	}
 	n, err := c.nc.Write(buf)
 	c.written(int64(n), err)
@@ -90,6 +91,7 @@
 	_ = c.nc.SetWriteDeadline(a.Deadline)
 	parts := net.Buffers{head, a.Request.Body}
 	n, err := parts.WriteTo(c.nc)
+	_ = c.nc.SetWriteDeadline(time.Time{}) // later requests have their own time
 	c.written(n, err)
 }
 
