Connections to replicas: don't reuse one whose request is still being written

Cause: the connection went back to the idle ones with the reply. The next request was written in the goroutine of Send, behind a body that the replica didn't read.

Ruled out: closing the connection at the reply. Replicas that read on would cost a new connection each, and connections are scarce.

Now such a connection is available when the write has ended, and closed at the write's deadline, or when an attempt waits and the pool has no room for another connection.

A replica that reads on gets its whole body, and the connection is used again.

--- a/internal/connpool/conn.go
+++ b/internal/connpool/conn.go
@@ -19,10 +19,13 @@
 
 // conn is one connection. All fields but nc and br are guarded by pool.mu.
 type conn struct {
-	pool        *Pool
-	nc          net.Conn
-	br          *bufio.Reader
-	attempt     *Attempt // nil while idle
+	pool    *Pool
+	nc      net.Conn
+	br      *bufio.Reader
+	attempt *Attempt // nil while idle
+	// writing states that a large request is being written. A replica may answer it before
+	// that has ended; the connection is of no use for others until then.
+	writing     bool
 	closed      bool
 	idleSince   time.Time
 	idleTimeout time.Duration
@@ -39,6 +42,10 @@
 	a.AssignedAt = time.Now()
 }
 
+// unfinished reports whether the connection has answered a request that is still being
+// written. pool.mu is held.
+func (c *conn) unfinished() bool { return c.writing && c.attempt == nil }
+
 // release returns the connection to the idle ones. pool.mu is held.
 func (c *conn) release(now time.Time) {
 	c.attempt = nil
@@ -54,10 +61,12 @@
 	scratch := buffers.Get().(*[]byte)
 	buf := c.pool.codec.AppendRequest((*scratch)[:0], a.Request, c.pool.id, time.Until(a.Deadline))
 	if len(buf) >= largeRequestSize {
-		go c.writeBytes(a, buf)
+		c.beginWriting()
+		go c.writeBuffers(a, net.Buffers{buf})
 		return
 	}
-	c.writeBytes(a, buf)
+	n, err := c.nc.Write(buf)
+	c.written(int64(n), err)
 	*scratch = buf
 	buffers.Put(scratch)
 }
@@ -66,33 +75,77 @@
 // goroutine of their own.
 var buffers = sync.Pool{New: func() any { return new([]byte) }}
 
-func (c *conn) writeBytes(a *Attempt, buf []byte) {
-	if len(buf) >= largeRequestSize {
-		_ = c.nc.SetWriteDeadline(a.Deadline)
-		defer func() { _ = c.nc.SetWriteDeadline(time.Time{}) }()
-	}
-	n, err := c.nc.Write(buf)
-	c.written(int64(n), err)
-}
-
 // writeLarge sends an attempt without a copy of its body, if the codec can.
 func (c *conn) writeLarge(a *Attempt) bool {
 	hc, ok := c.pool.codec.(HeadCodec)
 	if ok {
 		a.Request.Account.Retain()
-		go c.writeWithBody(a, hc.AppendHead(nil, a.Request, c.pool.id, time.Until(a.Deadline)))
+		c.beginWriting()
+		head := hc.AppendHead(nil, a.Request, c.pool.id, time.Until(a.Deadline))
+		go func() {
+			defer a.Request.Account.Release()
+			c.writeBuffers(a, net.Buffers{head, a.Request.Body})
+		}()
 	}
 	return ok
 }
 
-// writeWithBody writes a request whose body is not copied.
-func (c *conn) writeWithBody(a *Attempt, head []byte) {
-	defer a.Request.Account.Release()
+func (c *conn) beginWriting() {
+	c.pool.mu.Lock()
+	c.writing = true
+	c.pool.mu.Unlock()
+}
+
+// writeBuffers writes a large request until its deadline, which later requests don't have.
+func (c *conn) writeBuffers(a *Attempt, parts net.Buffers) {
 	_ = c.nc.SetWriteDeadline(a.Deadline)
-	parts := net.Buffers{head, a.Request.Body}
 	n, err := parts.WriteTo(c.nc)
-	_ = c.nc.SetWriteDeadline(time.Time{}) // later requests have their own time
+	_ = c.nc.SetWriteDeadline(time.Time{})
 	c.written(n, err)
+	if err == nil {
+		c.endWriting()
+	}
+}
+
+// endWriting makes the connection available to others if its request has been answered.
+func (c *conn) endWriting() {
+	p := c.pool
+	p.mu.Lock()
+	answered := c.unfinished() && !c.closed
+	c.writing = false
+	surplus := answered && (p.closed || len(p.conns) > p.limit)
+	var next *Attempt
+	if answered {
+		p.unfinished--
+	}
+	switch {
+	case surplus:
+		c.closed = true
+		delete(p.conns, c)
+	case answered:
+		next = c.next(time.Now())
+	}
+	p.mu.Unlock()
+	if surplus {
+		_ = c.nc.Close()
+		p.count("connections_closed_" + string(causeIdle))
+	}
+	if next != nil {
+		c.write(next)
+	}
+}
+
+// next assigns the first waiting attempt to the connection and returns it, or returns the
+// connection to the idle ones. pool.mu is held.
+func (c *conn) next(now time.Time) *Attempt {
+	a := c.pool.nextWaiting()
+	if a == nil {
+		c.release(now)
+		return nil
+	}
+	a.ended = false
+	c.assign(a)
+	return a
 }
 
 // written closes the connection if a write has failed after n bytes.
@@ -163,11 +216,11 @@
 		if reply.KeepAlive > 0 {
 			c.idleTimeout = min(p.maxIdle, max(reply.KeepAlive-idleMargin, idleMargin))
 		}
-		if next = p.nextWaiting(); next != nil {
-			next.ended = false
-			c.assign(next)
+		if c.writing {
+			p.unfinished++
+			p.dialMore()
 		} else {
-			c.release(time.Now())
+			next = c.next(time.Now())
 		}
 	}
 	p.mu.Unlock()
@@ -196,6 +249,9 @@
 		p.mu.Unlock()
 		return
 	}
+	if c.unfinished() {
+		p.unfinished--
+	}
 	c.closed = true
 	a := c.attempt
 	c.attempt = nil
--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -31,8 +31,11 @@
 	maxDials = 2
 )
 
-// causeIdle is the cause with which a connection is closed after its idle timeout.
-const causeIdle verdict.Cause = "idle"
+// The causes with which a connection without an attempt is closed.
+const (
+	causeIdle   verdict.Cause = "idle"   // after its idle timeout
+	causeUnread verdict.Cause = "unread" // its replica doesn't read the rest of a request
+)
 
 // DialFunc opens a connection. Tests replace it.
 type DialFunc func(ctx context.Context, addr string) (net.Conn, error)
@@ -62,7 +65,10 @@
 	idle    []*conn // the most recently used one is last
 	waiting []*Attempt
 	dialing int
-	closed  bool
+	// unfinished is the number of connections whose request has been answered while it is
+	// still being written.
+	unfinished int
+	closed     bool
 	// bytes is the size of the bodies of the attempts that have not ended.
 	bytes, maxBytes int
 }
@@ -281,6 +287,20 @@
 		p.dialing++
 		go p.open()
 	}
+	if p.unfinished > 0 && len(p.waiting) > p.dialing {
+		p.closeUnfinished()
+	}
+}
+
+// closeUnfinished closes a connection whose replica has answered a request without reading
+// it, so that another one can be opened for an attempt that waits. p.mu is held.
+func (p *Pool) closeUnfinished() {
+	for c := range p.conns {
+		if c.unfinished() {
+			go c.close(causeUnread, "its replica has not read the request that it has answered")
+			return
+		}
+	}
 }
 
 // open opens one connection and sends the first waiting attempt on it. If the
