Bound what the kernel holds for callers' connections

What callers saw: a VM that ended. Bytes that were received and not read, and answers that were not acknowledged, count towards its memory, and nothing bounded them: 300 connections that write requests in a row and read nothing left 195 MB of 96, parts of bodies 108, large answers that nobody reads 115, and parts of bodies while the process is stopped for 2 s 156.

Cause: connections had the buffers that the kernel chooses, which grow to megabytes, and an answer counted as taken when the kernel had it.

Ruled out: a fixed buffer that is large enough for a large body, since some thousand connections with one each exceed the memory; a share for each connection, since it slows a single body to a few kilobytes a round trip.

Change: [direct] connection-buffer bounds both directions, from the first packet on, since a socket takes its buffer from the listener. A large head or body draws more from the budget while it comes in, as far as there is some to spare. The next answer waits until the caller has acknowledged the former one but for that buffer, and the answer's bytes stay drawn until then. A caller that takes nothing for 10 s loses its connection, as before; for 1 s, if connections or memory are short and none is without a request. A small request that finds no room closes unfinished ones until it has some.

--- a/internal/callerhttp/body.go
+++ b/internal/callerhttp/body.go
@@ -32,6 +32,7 @@
 	br      *bufio.Reader
 	limit   int
 	account *membudget.Account
+	widen   func(bytes int) // makes room in the kernel for bytes of the body
 
 	body     []byte
 	overhead int // of chunks, as maxChunkOverhead has it
@@ -44,6 +45,7 @@
 	case n > b.limit:
 		return fasthttp.ErrBodyTooLarge
 	case n > 0:
+		b.expect(n)
 		err = b.append(n, n)
 	case n == -1:
 		if err = b.readChunks(); err == nil {
@@ -61,6 +63,13 @@
 	return nil
 }
 
+// expect makes room for so many more bytes of the body.
+func (b *bodyReader) expect(n int) {
+	if n -= b.br.Buffered(); n > bodyStep {
+		b.widen(n)
+	}
+}
+
 // append reads n bytes of a body that has at most most bytes.
 func (b *bodyReader) append(n, most int) error {
 	for n > 0 {
@@ -113,6 +122,7 @@
 		if n > b.limit-len(b.body) {
 			return fasthttp.ErrBodyTooLarge
 		}
+		b.expect(n)
 		if err := b.append(n, b.limit); err != nil {
 			return err
 		}
--- a/internal/callerhttp/budget_test.go
+++ b/internal/callerhttp/budget_test.go
@@ -24,6 +24,7 @@
 	b := membudget.New(memory)
 	s := callerhttp.New(h)
 	s.SetBudget(b, maxConns, zerolog.Nop())
+	s.SetConnectionBuffer(8 << 10)
 	s.SetLimits(callerhttp.Limits{HeaderBytes: 16 << 10, BodyBytes: 1 << 20, HeaderTimeout: time.Second, IdleTimeout: time.Second})
 	Expect(s.Listen("127.0.0.1:0")).To(Succeed())
 	DeferCleanup(func() { _ = s.Shutdown(context.Background()) })
--- a/internal/callerhttp/conn.go
+++ b/internal/callerhttp/conn.go
@@ -30,6 +30,9 @@
 	pending      atomic.Int64  // requests read and not yet answered
 	waitingSince atomic.Int64  // when it began to wait for the present request, in Unix ns
 	used         bool          // a request was read
+	window       int           // bytes drawn for the kernel's receive buffer
+	unacked      int           // at most so many bytes of answers have not been acknowledged
+	stalledSince atomic.Int64  // since when the caller has taken nothing of an answer, in Unix ns; 0: none is being sent
 	// stopReceiving and stopSending end a request that is being read, or an answer that
 	// is being written, because its bytes are needed.
 	stopReceiving, stopSending func()
@@ -112,10 +115,8 @@
 		return nil
 	}
 	c.setReadDeadline(limits.HeaderTimeout)
-	account, ok := c.server.budget.Open(c.client)
+	account, ok := c.open()
 	if !ok {
-		// A crowd of small unfinished requests holds the bytes: the next request finds some.
-		c.server.closeWaiting(c, "memory")
 		return &received{status: fasthttp.StatusServiceUnavailable}
 	}
 	account.Begin(c.stopReceiving)
@@ -138,8 +139,20 @@
 	return in
 }
 
+// open opens the account of a request. A crowd of small unfinished requests may hold the
+// bytes, some of which are closed then.
+func (c *conn) open() (*membudget.Account, bool) {
+	for {
+		account, ok := c.server.budget.Open(c.client)
+		if ok || !c.server.closeWaiting(c, "memory") {
+			return account, ok
+		}
+	}
+}
+
 // readRequest reads a request whose first byte has arrived.
 func (c *conn) readRequest(limits *Limits, account *membudget.Account) (*received, error) {
+	defer c.narrow(account)
 	fields, err := c.awaitHead(limits, account)
 	if err != nil {
 		return nil, err
@@ -157,7 +170,7 @@
 			return nil, err
 		}
 	}
-	b := bodyReader{br: c.br, limit: limits.BodyBytes, account: account}
+	b := bodyReader{br: c.br, limit: limits.BodyBytes, account: account, widen: func(n int) { c.widen(account, n) }}
 	if err := b.readInto(req); err != nil {
 		return nil, err
 	}
@@ -262,8 +275,8 @@
 	}
 	in.account.Begin(c.stopSending)
 	err := c.write(resp, in.account)
-	if !in.account.End() {
-		c.server.metrics.Add("slow_readers_closed", 1)
+	if !in.account.End() || errors.Is(err, errNotRead) {
+		c.server.slowReader(c)
 	}
 	return err == nil && !last
 }
@@ -314,41 +327,3 @@
 func retryAfter() string {
 	return strconv.FormatFloat(0.5+rand.Float64(), 'f', 3, 64)
 }
-
-func (c *conn) write(resp *fasthttp.Response, account *membudget.Account) error {
-	_ = c.nc.SetWriteDeadline(time.Now().Add(writeTimeout))
-	w := io.Writer(c.nc)
-	if len(resp.Body()) > writeStep {
-		w = &stepWriter{w: c.nc, account: account}
-	}
-	if c.bw == nil {
-		c.bw = bufio.NewWriterSize(w, 2<<10)
-	} else {
-		c.bw.Reset(w)
-	}
-	if err := resp.Write(c.bw); err != nil {
-		return err
-	}
-	return c.bw.Flush()
-}
-
-// stepWriter writes in steps, so that the account knows how much the caller has taken.
-type stepWriter struct {
-	w       io.Writer
-	account *membudget.Account
-}
-
-// Write implements io.Writer.
-func (s *stepWriter) Write(p []byte) (int, error) {
-	written := 0
-	for len(p) > 0 {
-		n, err := s.w.Write(p[:min(len(p), writeStep)])
-		written += n
-		if err != nil {
-			return written, err
-		}
-		s.account.Moved(n)
-		p = p[n:]
-	}
-	return written, nil
-}
--- a/internal/callerhttp/head.go
+++ b/internal/callerhttp/head.go
@@ -82,6 +82,7 @@
 		return false
 	}
 	c.resize(size)
+	c.widen(account, size)
 	return true
 }
 
--- a/internal/callerhttp/overload.go
+++ b/internal/callerhttp/overload.go
@@ -2,11 +2,30 @@
 
 import "time"
 
-// closeWaiting closes the connection that has waited longest for a whole request, because
-// something is short. It reports whether there was one.
+// stallTime is how long a caller may take nothing of its answer before its connection may be
+// closed for others.
+const stallTime = time.Second
+
+// closeWaiting closes the connection that has waited longest for a whole request, or else
+// one whose caller doesn't read its answer, because something is short. It reports whether
+// there was one.
 func (s *Server) closeWaiting(except *conn, short string) bool {
 	s.mu.Lock()
-	c := s.longestWaiting(except)
+	c := s.longest(func(c *conn) int64 {
+		if c == except || c.pending.Load() > 0 {
+			return 0
+		}
+		return c.waitingSince.Load()
+	})
+	if c == nil {
+		stalled := time.Now().Add(-stallTime).UnixNano()
+		c = s.longest(func(c *conn) int64 {
+			if since := c.stalledSince.Load(); since < stalled {
+				return since
+			}
+			return 0
+		})
+	}
 	if c != nil {
 		s.forget(c)
 	}
@@ -19,18 +38,20 @@
 	return true
 }
 
-// longestWaiting returns the connection that has waited longest for a whole request,
-// among those of the client with the most connections that have no request in progress.
-// It returns nil if all have one. s.mu is held.
-func (s *Server) longestWaiting(except *conn) *conn {
+// longest returns the connection with the earliest time among those of the client with the
+// most connections that have one. since returns the time in Unix ns, or 0 for a connection
+// that doesn't count. It returns nil if none does. s.mu is held.
+func (s *Server) longest(since func(c *conn) int64) *conn {
 	var found *conn
+	var earliest int64
 	for c := range s.conns {
-		if c == except || c.pending.Load() > 0 {
+		at := since(c)
+		if at == 0 {
 			continue
 		}
 		if found == nil || s.byClient[c.client] > s.byClient[found.client] ||
-			s.byClient[c.client] == s.byClient[found.client] && c.waitingSince.Load() < found.waitingSince.Load() {
-			found = c
+			s.byClient[c.client] == s.byClient[found.client] && at < earliest {
+			found, earliest = c, at
 		}
 	}
 	return found
@@ -43,6 +64,13 @@
 	s.log.Info("callers").Str("client", c.client).Str("short", short).Msg("connection of a caller closed")
 }
 
+// slowReader records that a connection was closed because the caller doesn't read its answer.
+func (s *Server) slowReader(c *conn) {
+	s.metrics.Add("slow_readers_closed", 1)
+	s.log.Tick(time.Now())
+	s.log.Info("callers").Str("client", c.client).Msg("connection of a caller closed: it does not read its answer")
+}
+
 // refused records that a request was refused because bytes are short.
 func (s *Server) refused(c *conn) {
 	s.metrics.Add("refused_for_memory", 1)
--- a/internal/callerhttp/server.go
+++ b/internal/callerhttp/server.go
@@ -6,6 +6,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -48,13 +49,11 @@
 var DefaultLimits = Limits{HeaderBytes: 16 << 10, BodyBytes: 1 << 20, HeaderTimeout: 5 * time.Second, IdleTimeout: 60 * time.Second}
 
 const (
-	// writeTimeout is how long a caller may take to read a response.
+	// writeTimeout is how long a caller may take to read a part of a response.
 	writeTimeout = 10 * time.Second
 	// pollInterval is how often a shutdown checks for open connections, and how
 	// long Listen waits after a failed accept.
 	pollInterval = 20 * time.Millisecond
-	// writeStep is how much of a large response is written at a time.
-	writeStep = 64 << 10
 	// lingerTime is how long a refused caller may take to close its connection.
 	lingerTime = time.Second
 	// connBytes is what a connection takes while no request is being read: its read
@@ -73,6 +72,7 @@
 	arrivals    arrivals
 	budget      *membudget.Budget // nil: no limit
 	maxConns    int               // 0: no limit
+	buffer      int               // of the kernel for each connection and direction, in bytes; 0: as the kernel decides
 	metrics     *expvar.Map
 	log         *telemetry.RateLimitedLogger
 
@@ -106,15 +106,31 @@
 	s.budget, s.maxConns, s.log = b, maxConns, telemetry.NewRateLimitedLogger(log)
 }
 
+// SetConnectionBuffer sets the bytes that the kernel holds for each connection, of requests
+// that have not been read, and of answers that the caller has not acknowledged; 0: as many as
+// the kernel decides. More are drawn from the budget while a large request arrives or a large
+// answer is sent. It must be called before Listen.
+func (s *Server) SetConnectionBuffer(bytes int) { s.buffer = bytes }
+
 // Active returns the number of requests that were read and not yet answered.
 func (s *Server) Active() int { return int(s.active.Load()) }
 
 // Listen starts to serve on an address, IP:port.
 func (s *Server) Listen(addr string) error {
-	ln, err := net.Listen("tcp", addr)
+	// Connections have the listener's buffer from the first packet on, also those that have not
+	// been accepted yet.
+	var unset error
+	lc := net.ListenConfig{Control: func(_, _ string, rc syscall.RawConn) error {
+		unset = setReceiveBuffer(rc, s.buffer)
+		return nil
+	}}
+	ln, err := lc.Listen(context.Background(), "tcp", addr)
 	if err != nil {
 		return eris.Wrapf(err, "listen for callers on %s", addr)
 	}
+	if unset != nil {
+		s.log.Warn("callers").Err(unset).Int("bytes", s.buffer).Msg("receive buffer of connections not set: what the kernel holds for them has no bound")
+	}
 	s.mu.Lock()
 	s.ln = ln
 	s.mu.Unlock()
--- a/internal/decide/bytebudget/bytebudget.go
+++ b/internal/decide/bytebudget/bytebudget.go
@@ -17,6 +17,11 @@
 	// grace is how long a transfer is never considered slow. It covers several round
 	// trips between regions.
 	grace = 500 * time.Millisecond
+	// spareFactor is the part of the free large bytes that one request may use to come in
+	// faster.
+	spareFactor = 1.0 / 8
+	// minSpare is the least that makes a difference, in bytes.
+	minSpare = 4 << 10
 )
 
 // Limits are the bytes that requests may use.
@@ -41,6 +46,16 @@
 	return client+n <= clientFactor*(l.Large-used-n)
 }
 
+// Spare returns how many of n bytes that are useful, but not needed, may be used. They become
+// fewer the more are in use, so that there are always some left for what is needed.
+func (l Limits) Spare(used, n int64) int64 {
+	n = min(n, int64(spareFactor*float64(l.Large-used)))
+	if n < minSpare {
+		return 0
+	}
+	return n
+}
+
 // Transfer is a request or an answer that is on its way from or to a client.
 type Transfer struct {
 	Since time.Time // when it began
--- a/internal/decide/bytebudget/bytebudget_test.go
+++ b/internal/decide/bytebudget/bytebudget_test.go
@@ -34,6 +34,18 @@
 		Expect(limits.Small(limits.Total, 1)).To(BeFalse())
 	})
 
+	// Guards against requests that are refused for bytes that only make others faster.
+	It("grants bytes to spare while many are free, and never those that are needed", func() {
+		Expect(limits.Spare(0, 1<<20)).To(BeEquivalentTo(1 << 20))
+		used := int64(0)
+		for n := limits.Spare(used, 1<<20); n > 0; n = limits.Spare(used, 1<<20) {
+			used += n
+		}
+		Expect(limits.Fits(used, 16<<10)).To(BeTrue())
+		Expect(limits.Spare(limits.Large, 1<<20)).To(BeZero())
+		Expect(limits.Spare(limits.Total, 1<<20)).To(BeZero())
+	})
+
 	// Guards against dropping a client that sends at full speed before one that stopped
 	// just short of its end.
 	It("gives up the transfer that moves slowest, once its grace time is over", func() {
--- a/internal/membudget/account.go
+++ b/internal/membudget/account.go
@@ -42,11 +42,7 @@
 	}
 	ok := !a.closed && fits()
 	if ok {
-		b.used += size
-		a.held += size
-		a.large += size
-		b.clients[a.client] += size
-		a.register()
+		a.draw(size)
 	} else {
 		b.metrics.Add("refused_large", 1)
 	}
@@ -57,6 +53,32 @@
 	return ok
 }
 
+// TakeSpare draws up to n bytes that are useful, but not needed, and returns how many. No
+// other transfer is given up for them. Without a limit, all are granted.
+func (a *Account) TakeSpare(n int) int {
+	if a == nil {
+		return n
+	}
+	b := a.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	size := b.limits.Spare(b.used, int64(n))
+	if a.closed || size == 0 || !b.limits.Fair(b.used, b.clients[a.client], size) {
+		return 0
+	}
+	a.draw(size)
+	return int(size)
+}
+
+// draw draws n bytes of what is large. budget.mu is held.
+func (a *Account) draw(n int64) {
+	a.budget.used += n
+	a.held += n
+	a.large += n
+	a.budget.clients[a.client] += n
+	a.register()
+}
+
 // Force draws n more bytes that are needed in any case: of answers that are small. Up to
 // forceStep are drawn later, so that the many parts of a query cost little.
 func (a *Account) Force(n int) {
--- a/internal/membudget/budget_test.go
+++ b/internal/membudget/budget_test.go
@@ -82,9 +82,26 @@
 		Expect(b.Used()).To(BeZero())
 	})
 
+	It("grants bytes to spare, gives up nothing for them, and has them back", func() {
+		b := membudget.New(20 << 20)
+		other := open(b, "other")
+		Expect(other.Take(2 << 20)).To(BeTrue())
+		other.Begin(func() { Fail("given up") })
+		time.Sleep(510 * time.Millisecond) // its grace time
+		a := open(b, "c")
+		Expect(a.TakeSpare(1 << 20)).To(BeNumerically("<", 1<<20))
+		other.Release()
+		n := a.TakeSpare(64 << 10)
+		Expect(n).To(Equal(64 << 10))
+		a.Release()
+		Expect(a.TakeSpare(64 << 10)).To(BeZero(), "after its end")
+		Expect(b.Used()).To(BeZero())
+	})
+
 	It("has no limit without a budget", func() {
 		var b *membudget.Budget
 		a := open(b, "c")
+		Expect(a.TakeSpare(1 << 20)).To(Equal(1 << 20))
 		Expect(a.Take(1 << 40)).To(BeTrue())
 		a.Begin(func() {})
 		Expect(a.End()).To(BeTrue())
--- a/internal/settings/fields.go
+++ b/internal/settings/fields.go
@@ -56,6 +56,7 @@
 	{"direct", "rollback", "5s", "Time from when a version is known to be bad until it gets no more requests; off: no limit.", orOff(maxDuration, atLeast(time.Second), func(s *Settings) *time.Duration { return &s.Direct.Rollback })},
 	{"direct", "memory", "0", "Memory of the VM in MB; 0: not known.", factor(func(s *Settings) *float64 { return &s.Direct.Memory })},
 	{"direct", "descriptors", "0", "File descriptors that the process may open; 0: not known.", number(0, maxDescriptors, func(s *Settings) *int { return &s.Direct.Descriptors })},
+	{"direct", "connection-buffer", "8192", "Bytes that the kernel holds for a caller's connection in each direction: of requests that have not been read, and of answers that the caller has not acknowledged. While a large request comes in, more are drawn from the memory for requests; the next answer waits until the caller has taken the former one. 0: as many as the kernel decides.", optional(minConnectionBuffer, maxConnectionBuffer, func(s *Settings) *int { return &s.Direct.ConnectionBuffer })},
 	{"direct", "header-fields", "0", "Header lines that a request may have; 0: as many as the configuration's maxHeaderBytes has room for.", number(0, maxRequests, func(s *Settings) *int { return &s.Direct.HeaderFields })},
 	{"direct", "upstream-bytes", "33554432", "Bytes of request bodies that this VM may have in flight to one replica; 0: no limit.", number(0, maxDescriptors, func(s *Settings) *int { return &s.Direct.UpstreamBytes })},
 	{"direct", "revocation", "off", "Time in which an API key that was taken away is no longer accepted by any VM; off: no such bound.", orOff(0, atLeast(time.Second), func(s *Settings) *time.Duration { return &s.Direct.Revocation })},
@@ -138,6 +139,17 @@
 	}
 }
 
+// optional reads a number that is 0 or from lo to hi.
+func optional(lo, hi int, target func(*Settings) *int) readFunc {
+	return func(r *inifile.Reader, key, def string, s *Settings) {
+		if v, ok := r.Lookup(key); ok && strings.TrimSpace(v) == "0" {
+			*target(s) = 0
+			return
+		}
+		number(lo, hi, target)(r, key, def, s)
+	}
+}
+
 func duration(lo time.Duration, target func(*Settings) *time.Duration) readFunc {
 	return func(r *inifile.Reader, key, def string, s *Settings) {
 		d, _ := time.ParseDuration(def)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -96,10 +96,13 @@
 	Rollback      time.Duration
 	// Memory is the memory of the VM in MB, and Descriptors the number of file
 	// descriptors that the process may open; 0: not known.
-	Memory        float64
-	Descriptors   int
-	HeaderFields  int // header lines of a request; 0: no limit of its own
-	UpstreamBytes int // of bodies in flight to one replica; 0: no limit
+	Memory      float64
+	Descriptors int
+	// ConnectionBuffer is the bytes that the kernel holds for a caller's connection in each
+	// direction; 0: as many as it decides.
+	ConnectionBuffer int
+	HeaderFields     int // header lines of a request; 0: no limit of its own
+	UpstreamBytes    int // of bodies in flight to one replica; 0: no limit
 	// Revocation is the time in which an API key that was taken away is no longer
 	// accepted by any VM; 0: no such bound.
 	Revocation time.Duration
@@ -160,6 +163,9 @@
 	maxRequests = 1 << 20
 	maxRelays   = 16
 	maxFactor   = 1 << 20
+	// The least is several packets, the most what any link needs.
+	minConnectionBuffer = 4 << 10
+	maxConnectionBuffer = 16 << 20
 	// maxDescriptors is the largest number of file descriptors that Linux allows a process.
 	maxDescriptors = 1 << 30
 )
--- a/internal/sockstat/sockstat_linux.go
+++ b/internal/sockstat/sockstat_linux.go
@@ -46,6 +46,19 @@
 	return d, ok
 }
 
+// tcpClosed is the state of a connection that has ended, as after a reset.
+const tcpClosed = 7
+
+// Ended reports whether a connection that was not closed here has ended. It is false if the
+// kernel doesn't tell.
+func Ended(c net.Conn) (ended bool) {
+	control(c, func(fd int) {
+		info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+		ended = err == nil && info.State == tcpClosed
+	})
+	return ended
+}
+
 // control calls fn with the file descriptor of a connection, unless it is closed or has
 // none.
 func control(c net.Conn, fn func(fd int)) {
