Ask the machine for the limits that settings leave out

What callers saw: with [direct] memory unset, nothing bounded the process; 300 bodies that stop short of their end ended one with 256 MB. With descriptors unset, 900 connections took all 500 of a process, and an ordinary request got no answer within 10 s.

Cause: 0 meant 4 GB, no limit for the collector, and any number of connections.

Now 0 means the least of the machine's memory, the memory limits of the process's control groups, and its limits on address space and data; and its limit on descriptors.

--- /dev/null
+++ b/internal/hostlimits/process_other.go
@@ -0,0 +1,6 @@
+//go:build !unix
+
+package hostlimits
+
+// processLimits returns no limits.
+func processLimits() Limits { return Limits{} }
--- a/internal/membudget/budget.go
+++ b/internal/membudget/budget.go
@@ -2,6 +2,7 @@
 
 import (
 	"expvar"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -55,6 +56,15 @@
 	return b
 }
 
+// ForProcess returns the budget of a process that may use so much memory, in bytes; 0: not
+// known. If it is known, the garbage collector runs early enough to stay within it.
+func ForProcess(memory int64) *Budget {
+	if memory > 0 {
+		debug.SetMemoryLimit(RuntimeLimit(memory))
+	}
+	return New(memory)
+}
+
 // Used returns the bytes that are drawn.
 func (b *Budget) Used() int64 {
 	b.mu.Lock()
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -95,7 +95,7 @@
 	ExposureSlack float64
 	Rollback      time.Duration
 	// Memory is the memory of the VM in MB, and Descriptors the number of file
-	// descriptors that the process may open; 0: not known.
+	// descriptors that the process may open; 0: what the machine says.
 	Memory      float64
 	Descriptors int
 	// ConnectionBuffer is the bytes that the kernel holds for a caller's connection in each
