Bound connections and requests at the addresses of readiness and the counters

What callers saw: whoever reaches these addresses could end the process: 300 bodies that stop short of their end took 326 MB of 96 at readiness and 625 at the counters, answers that nobody reads 652, and 900 connections with nothing left 919 descriptors of 500.

Cause: each had an HTTP server of its own with the library's defaults: bodies of 4 MB, any number of connections, no time limits.

Now internal/adminhttp serves both with internal/callerhttp, for [node] admin-connections connections at each address, with heads up to 8 KiB, no bodies, and time limits. When more come, the one that has been idle longest is closed, of the client with the most. The reserve of descriptors covers them. This holds for all programs.

--- a/internal/callerhttp/overload.go
+++ b/internal/callerhttp/overload.go
@@ -61,19 +61,19 @@
 func (s *Server) closed(c *conn, short string) {
 	s.metrics.Add("closed_for_"+short, 1)
 	s.log.Tick(time.Now())
-	s.log.Info("callers").Str("client", c.client).Str("short", short).Msg("connection of a caller closed")
+	s.log.Info(s.name).Str("client", c.client).Str("short", short).Msg("connection of a caller closed")
 }
 
 // slowReader records that a connection was closed because the caller doesn't read its answer.
 func (s *Server) slowReader(c *conn) {
 	s.metrics.Add("slow_readers_closed", 1)
 	s.log.Tick(time.Now())
-	s.log.Info("callers").Str("client", c.client).Msg("connection of a caller closed: it does not read its answer")
+	s.log.Info(s.name).Str("client", c.client).Msg("connection of a caller closed: it does not read its answer")
 }
 
 // refused records that a request was refused because bytes are short.
 func (s *Server) refused(c *conn) {
 	s.metrics.Add("refused_for_memory", 1)
 	s.log.Tick(time.Now())
-	s.log.Info("callers").Str("client", c.client).Bool("unfinished", c.evicted.Load()).Msg("request refused: its bytes don't fit into the budget")
+	s.log.Info(s.name).Str("client", c.client).Bool("unfinished", c.evicted.Load()).Msg("request refused: its bytes don't fit into the budget")
 }
--- a/internal/callerhttp/server.go
+++ b/internal/callerhttp/server.go
@@ -63,6 +63,7 @@
 
 // Server accepts connections and serves them. It is safe for concurrent use.
 type Server struct {
+	name        string
 	handler     Handler
 	limits      atomic.Pointer[Limits]
 	draining    atomic.Bool
@@ -83,11 +84,15 @@
 	shutDown bool
 }
 
-// New returns a server that is not listening yet.
-func New(h Handler) *Server {
+// New returns a server for callers that is not listening yet.
+func New(h Handler) *Server { return NewNamed("callers", h) }
+
+// NewNamed is New for a server whose metrics and log lines have a name of their own.
+func NewNamed(name string, h Handler) *Server {
 	s := &Server{
+		name:    name,
 		handler: h, conns: map[*conn]struct{}{}, byClient: map[string]int{}, terminating: make(chan struct{}),
-		metrics: telemetry.Map("callers"), log: telemetry.NewRateLimitedLogger(zerolog.Nop()),
+		metrics: telemetry.Map(name), log: telemetry.NewRateLimitedLogger(zerolog.Nop()),
 	}
 	s.limits.Store(&DefaultLimits)
 	return s
@@ -129,7 +134,7 @@
 		return eris.Wrapf(err, "listen for callers on %s", addr)
 	}
 	if unset != nil {
-		s.log.Warn("callers").Err(unset).Int("bytes", s.buffer).Msg("receive buffer of connections not set: what the kernel holds for them has no bound")
+		s.log.Warn(s.name).Err(unset).Int("bytes", s.buffer).Msg("receive buffer of connections not set: what the kernel holds for them has no bound")
 	}
 	s.mu.Lock()
 	s.ln = ln
--- a/internal/launch/launch.go
+++ b/internal/launch/launch.go
@@ -16,6 +16,7 @@
 	"github.com/peterbourgon/ff/v3/ffcli"
 	"github.com/rs/zerolog"
 
+	"github.com/sapphirewall/sapphirewall/internal/adminhttp"
 	"github.com/sapphirewall/sapphirewall/internal/inifile"
 	"github.com/sapphirewall/sapphirewall/internal/kernel"
 	"github.com/sapphirewall/sapphirewall/internal/peer"
@@ -156,7 +157,7 @@
 		return ExitSettings
 	}
 	if p.Admin != nil {
-		_ = env.Kernel.Register(telemetry.NewAdmin(p.Admin(s)))
+		_ = env.Kernel.Register(adminhttp.NewAdmin(p.Admin(s), s.Node.AdminConnections, log))
 	}
 	if err := p.Register(env); err != nil {
 		log.Error().Err(err).Msg("registering services failed")
--- a/internal/membudget/budget_test.go
+++ b/internal/membudget/budget_test.go
@@ -94,7 +94,7 @@
 		n := a.TakeSpare(64 << 10)
 		Expect(n).To(Equal(64 << 10))
 		a.Release()
-		Expect(a.TakeSpare(64 << 10)).To(BeZero(), "after its end")
+		Expect(a.TakeSpare(64<<10)).To(BeZero(), "after its end")
 		Expect(b.Used()).To(BeZero())
 	})
 
--- a/internal/settings/fields.go
+++ b/internal/settings/fields.go
@@ -17,6 +17,7 @@
 	{"node", "id", "vm-1", "Name of this VM, unique in the fleet.", text(func(s *Settings) *string { return &s.Node.ID })},
 	{"node", "zone", "zone-1", "Availability zone of this VM.", text(func(s *Settings) *string { return &s.Node.Zone })},
 	{"node", "grace", "30s", "Longest time that a graceful shutdown may take.", duration(time.Second, func(s *Settings) *time.Duration { return &s.Node.Grace })},
+	{"node", "admin-connections", "16", "Connections that may be open at each address for operators and for the load balancer's checks; for a further one, the one that has been idle longest is closed.", number(1, maxRequests, func(s *Settings) *int { return &s.Node.AdminConnections })},
 
 	{"entry", "listen", "127.0.0.1:7000", "Address for callers, IP:port.", addr(func(s *Settings) *string { return &s.Entry.Listen })},
 	{"entry", "admin", "127.0.0.1:7001", "Address of /vars, /live and /ready, IP:port.", addr(func(s *Settings) *string { return &s.Entry.Admin })},
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -32,6 +32,9 @@
 	ID    string
 	Zone  string
 	Grace time.Duration // limit of a graceful shutdown
+	// AdminConnections is the number of connections that may be open at each address for
+	// operators and for the load balancer's checks.
+	AdminConnections int
 }
 
 // Entry configures sw-entry.
