sw-entry serves callers within a budget of bytes and connections

What callers saw: 300 whole bodies of 1 MB took 1,109 MB at sw-entry, requests in a row without reading 769, unfinished bodies 330 to 945, whole heads of short lines 161, where 96 are allowed; 900 connections took 931 descriptors of 500.

Cause: it had an HTTP server of its own: a body was read whole, up to max-body, for any number of connections, and copied.

Now internal/callerhttp serves its callers, as those of sw-node, with [entry] memory, descriptors and connection-buffer. The handler takes the body over instead of copying it; an attempt retains the account of its request; an answer draws before it is sent. Requests that are not read whole are refused with a problem document as before.

Ruled out: limits at fasthttp's server. It reads a body before its handler is asked, so that a body can't be given up for another.

Suspected, not shown: frames to an egress process that doesn't read keep the bodies of requests that have ended, for the 5 s of the session's write timeout.

--- a/internal/callerhttp/conn.go
+++ b/internal/callerhttp/conn.go
@@ -301,6 +301,9 @@
 		c.server.refused(c)
 		resp.Header.Set(fasthttp.HeaderRetryAfter, retryAfter())
 	}
+	if c.server.refusal != nil {
+		c.server.refusal(resp, status)
+	}
 	if c.write(resp, nil) == nil && short {
 		c.linger()
 	}
--- a/internal/callerhttp/server.go
+++ b/internal/callerhttp/server.go
@@ -65,6 +65,7 @@
 type Server struct {
 	name        string
 	handler     Handler
+	refusal     func(resp *fasthttp.Response, status int) // nil: a refusal has no body
 	limits      atomic.Pointer[Limits]
 	draining    atomic.Bool
 	active      atomic.Int64 // requests read and not yet answered
@@ -117,6 +118,10 @@
 // answer is sent. It must be called before Listen.
 func (s *Server) SetConnectionBuffer(bytes int) { s.buffer = bytes }
 
+// SetRefusal sets the function that completes the response to a request that was not read
+// whole. The status and Retry-After are set already. It must be called before Listen.
+func (s *Server) SetRefusal(fn func(resp *fasthttp.Response, status int)) { s.refusal = fn }
+
 // Active returns the number of requests that were read and not yet answered.
 func (s *Server) Active() int { return int(s.active.Load()) }
 
--- a/internal/entry/exits_test.go
+++ b/internal/entry/exits_test.go
@@ -96,6 +96,14 @@
 	Entry(nil, "the deadline is no number above 0", "not-run", verdict.BadRequest, 400, `whole milliseconds above 0`, nil, "all", headerDeadline, "0"),
 	Entry(nil, "an action has no key", "not-run", verdict.BadRequest, 400, `give Idempotency-Key`, nil, "act"),
 	Entry(nil, "the body is too large", "not-run", verdict.TooLarge, 413, `larger than 100 bytes`, nil, "all"),
+	Entry(nil, "the head is too large", "not-run", verdict.TooLarge, 431, `head is larger than 16384 bytes`, nil, "all", "X-Large", strings.Repeat("x", headerBytes)),
+	Entry(nil, "the memory for requests is in use", "not-run", verdict.Shed, 503, `memory`, func(b *bench) {
+		for size := int64(1 << 30); size > 0; size /= 2 {
+			for b.budget.Draw(size) {
+			}
+		}
+		b.budget.Return(7 << 10) // room for a connection, but not for its request
+	}, "all"),
 	Entry(nil, "the request is known to crash upstreams", "not-run", verdict.Poison, 422, "", func(b *bench) {
 		crashes := []uint64{1_000_000, 2_000_000, 3_000_000, 4_000_000, 5_000_000}
 		b.poison.update("owner", []*swpb.PoisonSuspect{{Fingerprint: fingerprint("all", nil), CrashAgesUs: crashes}})
--- a/internal/entry/fanout.go
+++ b/internal/entry/fanout.go
@@ -8,6 +8,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"github.com/sapphirewall/sapphirewall/internal/decide/fanout"
+	"github.com/sapphirewall/sapphirewall/internal/membudget"
 	"github.com/sapphirewall/sapphirewall/internal/verdict"
 	"github.com/sapphirewall/sapphirewall/proto/swpb"
 )
@@ -17,8 +18,9 @@
 	id          string
 	route       *routeRef
 	body        []byte
-	key         string // idempotency key
-	fingerprint uint64 // hash of route and body
+	account     *membudget.Account // an attempt retains it until it has ended
+	key         string             // idempotency key
+	fingerprint uint64             // hash of route and body
 	deadline    time.Time
 }
 
@@ -90,6 +92,7 @@
 		case fanout.Send:
 			ctx, cancel := context.WithCancel(r.ctx)
 			r.cancels[key] = cancel
+			r.req.account.Retain()
 			go r.send(ctx, a)
 		case fanout.Cancel:
 			r.cancels[key]()
@@ -100,6 +103,7 @@
 // send makes one attempt and passes its reply to the loop, unless the fan-out has
 // ended.
 func (r *fanOutRun) send(ctx context.Context, a fanout.Action) {
+	defer r.req.account.Release()
 	reply := r.attempt(ctx, a)
 	select {
 	case r.replies <- reply:
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"strconv"
 	"strings"
 	"time"
@@ -11,7 +10,10 @@
 	"github.com/valyala/fasthttp"
 	"go.opentelemetry.io/otel/attribute"
 
-	"github.com/sapphirewall/sapphirewall/internal/sockstat"
+	"github.com/sapphirewall/sapphirewall/internal/callerhttp"
+	"github.com/sapphirewall/sapphirewall/internal/decide/bytebudget"
+	"github.com/sapphirewall/sapphirewall/internal/hostlimits"
+	"github.com/sapphirewall/sapphirewall/internal/membudget"
 	"github.com/sapphirewall/sapphirewall/internal/tables"
 	"github.com/sapphirewall/sapphirewall/internal/telemetry"
 	"github.com/sapphirewall/sapphirewall/internal/verdict"
@@ -36,6 +38,7 @@
 // The limits of a request.
 const (
 	maxKeyBytes = 128
+	headerBytes = 16 << 10
 	// answerMargin is reserved before the deadline for merging and writing. It is
 	// cut to a quarter of the request's timeout.
 	answerMargin = 5 * time.Millisecond
@@ -43,51 +46,51 @@
 	idleTimeout = time.Minute
 	// readTimeout limits the time in which a whole request must arrive.
 	readTimeout = 10 * time.Second
-	// writeTimeout closes connections of callers that don't read their answer.
-	writeTimeout = 10 * time.Second
 )
 
-func (s *Service) newServer() *fasthttp.Server {
-	return &fasthttp.Server{
-		Handler:               s.handle,
-		ErrorHandler:          s.handleMalformed,
-		Logger:                &s.log,
-		Name:                  "sapphirewall",
-		NoDefaultServerHeader: true,
-		CloseOnShutdown:       true,
-		MaxRequestBodySize:    s.opts.MaxBody,
-		ReadBufferSize:        readBufferBytes,
-		ReadTimeout:           readTimeout,
-		WriteTimeout:          writeTimeout,
-		IdleTimeout:           idleTimeout,
-	}
+// newServer returns the server of callers' connections, which bounds what they take of the
+// process's memory and descriptors.
+func (s *Service) newServer() *callerhttp.Server {
+	server := callerhttp.New(s.handle)
+	server.SetRefusal(s.refuseUnread)
+	server.SetLimits(callerhttp.Limits{HeaderBytes: headerBytes, BodyBytes: s.opts.MaxBody, HeaderTimeout: readTimeout, IdleTimeout: idleTimeout})
+	may := hostlimits.Resolve(int64(s.opts.Memory*(1<<20)), s.opts.Descriptors, s.log)
+	s.budget = membudget.ForProcess(may.Memory)
+	server.SetConnectionBuffer(s.opts.ConnectionBuffer)
+	server.SetBudget(s.budget, bytebudget.ConnectionLimit(may.Descriptors), s.log)
+	return server
 }
 
 // handle serves one HTTP request.
-func (s *Service) handle(h *fasthttp.RequestCtx) {
-	waited, _ := sockstat.SinceReceived(h.Conn())
-	begin := time.Now().Add(-waited)
+func (s *Service) handle(x *callerhttp.Exchange) {
 	id := s.ids.next()
-	ctx := s.tracer.Extract(context.Background(), string(h.Request.Header.Peek(headerTraceparent)))
+	ctx := s.tracer.Extract(context.Background(), headerOf(x.Request, headerTraceparent))
 	ctx, span := s.tracer.Start(ctx, "entry")
 	defer span.End()
 	span.SetAttributes(attribute.String("request_id", id))
 	s.metrics.requests.Add(1)
-	h.Response.Header.Set(headerRequestID, id)
-	if s.stopping.Load() {
-		h.SetConnectionClose()
-	}
-	req, v := s.parseRequest(h, id, begin)
+	x.Response.Header.Set(headerRequestID, id)
+	req, v := s.parseRequest(x, id)
 	var a *answer
 	if v == nil {
 		a, v = s.admitAndServe(ctx, req)
 	}
 	if v != nil {
 		span.SetAttributes(attribute.String("verdict", v.Error()))
-		s.writeRefusal(h, id, telemetry.TraceID(ctx), v)
+		s.writeRefusal(x.Response, id, telemetry.TraceID(ctx), v)
 		return
 	}
-	s.writeAnswer(h, id, a)
+	s.writeAnswer(x, id, a)
+}
+
+// headerOf returns the value of a header field, whose name callers may write in any case.
+func headerOf(r *fasthttp.Request, name string) string {
+	for k, v := range r.Header.All() {
+		if strings.EqualFold(string(k), name) {
+			return string(v)
+		}
+	}
+	return ""
 }
 
 // admitAndServe serves a request once the gate has admitted it.
@@ -103,13 +106,12 @@
 	return a, v
 }
 
-// parseRequest validates a request and copies what is used after the handler has
-// returned.
-func (s *Service) parseRequest(h *fasthttp.RequestCtx, id string, begin time.Time) (*request, *verdict.Error) {
-	if string(h.Method()) != fasthttp.MethodPost {
+// parseRequest validates a request.
+func (s *Service) parseRequest(x *callerhttp.Exchange, id string) (*request, *verdict.Error) {
+	if !x.Request.Header.IsPost() {
 		return nil, verdict.New(verdict.NotRun, verdict.BadRequest, "use POST "+pathPrefix+"{route}")
 	}
-	name, ok := strings.CutPrefix(string(h.Path()), pathPrefix)
+	name, ok := strings.CutPrefix(string(x.Request.URI().Path()), pathPrefix)
 	if !ok {
 		return nil, verdict.New(verdict.NotRun, verdict.UnknownRoute, "use POST "+pathPrefix+"{route}")
 	}
@@ -121,23 +123,27 @@
 	if route == nil {
 		return nil, verdict.Newf(verdict.NotRun, verdict.UnknownRoute, "the tables have no route %q", name)
 	}
-	timeout, v := timeoutOf(route, string(h.Request.Header.Peek(headerDeadline)))
+	timeout, v := timeoutOf(route, headerOf(x.Request, headerDeadline))
 	if v != nil {
 		return nil, v
 	}
-	key, v := idempotencyKeyOf(route, string(h.Request.Header.Peek(headerIdempotencyKey)))
+	key, v := idempotencyKeyOf(route, headerOf(x.Request, headerIdempotencyKey))
 	if v != nil {
 		return nil, v
 	}
 	req := &request{
 		id:       id,
 		route:    &routeRef{Route: route, catalogue: c},
-		body:     append([]byte(nil), h.PostBody()...),
+		account:  x.Account,
 		key:      key,
-		deadline: begin.Add(timeout - min(answerMargin, timeout/4)),
+		deadline: x.Arrived.Add(timeout - min(answerMargin, timeout/4)),
+	}
+	if len(x.Request.Body()) > 0 {
+		// The buffer is taken over: attempts may be in a queue still when the handler returns.
+		req.body = x.Request.SwapBody(nil)
 	}
 	req.fingerprint = fingerprint(route.Name, req.body)
-	return req, s.poison.refuse(begin, req.fingerprint)
+	return req, s.poison.refuse(x.Arrived, req.fingerprint)
 }
 
 // timeoutOf returns the timeout that the caller sets, at most the route's.
@@ -175,13 +181,13 @@
 }
 
 // writeAnswer writes the response for an answer.
-func (s *Service) writeAnswer(h *fasthttp.RequestCtx, id string, a *answer) {
+func (s *Service) writeAnswer(x *callerhttp.Exchange, id string, a *answer) {
 	if a.coverage.Complete() {
 		s.metrics.complete.Add(1)
 	} else {
 		s.metrics.partial.Add(1)
 	}
-	head := &h.Response.Header
+	head := &x.Response.Header
 	head.Set(headerSnapshot, strconv.FormatUint(a.snapshot, 10))
 	head.Set(headerCoverage, a.coverage.String())
 	head.Set(headerRevision, strconv.FormatUint(a.revision, 10))
@@ -195,29 +201,48 @@
 	if a.merge == tables.MergeFirst {
 		head.SetContentType("application/octet-stream")
 	}
-	h.Response.SetBodyRaw(a.body(id))
+	body := a.body(id)
+	x.Account.Force(len(body))
+	x.Response.SetBodyRaw(body)
 }
 
 // writeRefusal writes the problem document of a refusal.
-func (s *Service) writeRefusal(h *fasthttp.RequestCtx, id, traceID string, v *verdict.Error) {
-	s.metrics.refused.Add(1)
-	s.metrics.refusals.Add(string(v.Cause), 1)
-	p := v.Problem(id, traceID)
-	h.SetStatusCode(p.Status)
-	h.SetContentType(verdict.ProblemType)
+func (s *Service) writeRefusal(resp *fasthttp.Response, id, traceID string, v *verdict.Error) {
+	s.countRefusal(v)
+	writeProblem(resp, v, v.Problem(id, traceID))
+}
+
+func writeProblem(resp *fasthttp.Response, v *verdict.Error, p verdict.Problem) {
+	resp.SetStatusCode(p.Status)
+	resp.Header.SetContentType(verdict.ProblemType)
 	if after := v.RetryAfterSeconds(); after > 0 {
-		h.Response.Header.Set("Retry-After", strconv.Itoa(after))
+		resp.Header.Set("Retry-After", strconv.Itoa(after))
 	}
-	h.Response.SetBodyRaw(p.JSON())
+	resp.SetBodyRaw(p.JSON())
 }
 
-// handleMalformed refuses a request that the HTTP server could not read.
-func (s *Service) handleMalformed(h *fasthttp.RequestCtx, err error) {
+func (s *Service) countRefusal(v *verdict.Error) {
+	s.metrics.refused.Add(1)
+	s.metrics.refusals.Add(string(v.Cause), 1)
+}
+
+// refuseUnread completes the refusal of a request that was not read whole.
+func (s *Service) refuseUnread(resp *fasthttp.Response, status int) {
 	id := s.ids.next()
-	h.Response.Header.Set(headerRequestID, id)
-	v := verdict.Newf(verdict.NotRun, verdict.BadRequest, "the request can't be read: %v", err)
-	if errors.Is(err, fasthttp.ErrBodyTooLarge) {
+	resp.Header.Set(headerRequestID, id)
+	v := verdict.New(verdict.NotRun, verdict.BadRequest, "the request can't be read")
+	switch status {
+	case fasthttp.StatusRequestEntityTooLarge:
 		v = verdict.Newf(verdict.NotRun, verdict.TooLarge, "the body is larger than %d bytes", s.opts.MaxBody)
-	}
-	s.writeRefusal(h, id, "", v)
+	case fasthttp.StatusRequestHeaderFieldsTooLarge:
+		v = verdict.Newf(verdict.NotRun, verdict.TooLarge, "the head is larger than %d bytes", headerBytes)
+	case fasthttp.StatusRequestTimeout:
+		v = verdict.Newf(verdict.NotRun, verdict.BadRequest, "the request has not come in within %v", readTimeout)
+	case fasthttp.StatusServiceUnavailable:
+		v = verdict.New(verdict.NotRun, verdict.Shed, "the memory for requests is in use").WithRetryAfter(overloadRetryAfter)
+	}
+	s.countRefusal(v)
+	p := v.Problem(id, "")
+	p.Status = status
+	writeProblem(resp, v, p)
 }
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -5,18 +5,18 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
-	"github.com/valyala/fasthttp"
 
+	"github.com/sapphirewall/sapphirewall/internal/callerhttp"
 	"github.com/sapphirewall/sapphirewall/internal/fleetstate"
 	"github.com/sapphirewall/sapphirewall/internal/kernel"
 	"github.com/sapphirewall/sapphirewall/internal/launch"
+	"github.com/sapphirewall/sapphirewall/internal/membudget"
 	"github.com/sapphirewall/sapphirewall/internal/peer"
 	"github.com/sapphirewall/sapphirewall/internal/settings"
 	"github.com/sapphirewall/sapphirewall/internal/telemetry"
@@ -42,9 +42,6 @@
 	pollStallTimeout = 2 * time.Second        // long, so that the pings during a long poll cost little
 )
 
-// readBufferBytes limits the size of a request's headers.
-const readBufferBytes = 16 << 10
-
 // The errors of Ready and of view polls.
 var (
 	errStopping     = errors.New("shutting down")
@@ -78,8 +75,8 @@
 	started      time.Time
 	stopping     atomic.Bool
 
-	ln         net.Listener
-	server     *fasthttp.Server
+	server     *callerhttp.Server
+	budget     *membudget.Budget // of bytes of requests and answers
 	cancel     context.CancelFunc
 	background sync.WaitGroup
 }
@@ -118,7 +115,7 @@
 func (s *Service) Needs() []string { return []string{fleetstate.ServiceName} }
 
 // Addr returns the listening address. It must not be called before Start.
-func (s *Service) Addr() string { return s.ln.Addr().String() }
+func (s *Service) Addr() string { return s.server.Addr() }
 
 // Start implements kernel.Service.
 func (s *Service) Start(_ context.Context, k *kernel.Kernel) error {
@@ -127,11 +124,6 @@
 		return err
 	}
 	s.source = source
-	ln, err := net.Listen("tcp", s.opts.Listen)
-	if err != nil {
-		return eris.Wrapf(err, "listen on [entry] listen = %s", s.opts.Listen)
-	}
-	s.ln = ln
 	s.started = time.Now()
 	ctx, cancel := context.WithCancel(context.Background())
 	s.cancel = cancel
@@ -139,7 +131,9 @@
 	s.background.Add(1)
 	go s.maintainCatalogue(ctx)
 	s.server = s.newServer()
-	go func() { _ = s.server.Serve(ln) }()
+	if err := s.server.Listen(s.opts.Listen); err != nil {
+		return eris.Wrapf(err, "[entry] listen = %s", s.opts.Listen)
+	}
 	s.log.Info().Str("listen", s.Addr()).Msg("serving callers")
 	return nil
 }
@@ -148,8 +142,9 @@
 // finish, and then stops the rest.
 func (s *Service) Stop(ctx context.Context) error {
 	s.stopping.Store(true)
+	s.server.Drain()
 	sleep(ctx, drainDelayFor(ctx))
-	err := s.server.ShutdownWithContext(ctx)
+	err := s.server.Shutdown(ctx)
 	s.cancel()
 	s.background.Wait()
 	s.peers.Close()
--- a/internal/settings/fields.go
+++ b/internal/settings/fields.go
@@ -10,6 +10,13 @@
 	"github.com/sapphirewall/sapphirewall/internal/inifile"
 )
 
+// The comments of keys that two sections have.
+const (
+	memoryComment           = "Memory of the VM in MB; 0: that of the machine, or the limit of the process if that is lower."
+	descriptorsComment      = "File descriptors that the process may open; 0: the limit of the process."
+	connectionBufferComment = "Bytes that the kernel holds for a caller's connection in each direction: of requests that have not been read, and of answers that the caller has not acknowledged. While a large request comes in, more are drawn from the memory for requests; the next answer waits until the caller has taken the former one. 0: as many as the kernel decides."
+)
+
 // fields lists every key in the order of the default file. The keys of a section
 // must be adjacent.
 var fields = []field{
@@ -26,6 +33,9 @@
 	{"entry", "hedging", "yes", "Send a hedge for a part whose answer is late: yes or no.", yesNo(func(s *Settings) *bool { return &s.Entry.Hedging })},
 	{"entry", "admission", "yes", "Refuse at once any request that can't be answered in time: yes or no.", yesNo(func(s *Settings) *bool { return &s.Entry.Admission })},
 	{"entry", "max-in-flight", "10000", "Requests in flight at once; further requests are refused.", number(1, maxRequests, func(s *Settings) *int { return &s.Entry.MaxInFlight })},
+	{"entry", "memory", "0", memoryComment, factor(func(s *Settings) *float64 { return &s.Entry.Memory })},
+	{"entry", "descriptors", "0", descriptorsComment, number(0, maxDescriptors, func(s *Settings) *int { return &s.Entry.Descriptors })},
+	{"entry", "connection-buffer", "8192", connectionBufferComment, optional(minConnectionBuffer, maxConnectionBuffer, func(s *Settings) *int { return &s.Entry.ConnectionBuffer })},
 
 	{"egress", "listen", "127.0.0.1:7010", "Address for peers, IP:port.", addr(func(s *Settings) *string { return &s.Egress.Listen })},
 	{"egress", "admin", "127.0.0.1:7011", "Address of /vars, /live and /ready, IP:port.", addr(func(s *Settings) *string { return &s.Egress.Admin })},
@@ -55,9 +65,9 @@
 	{"direct", "exposure-share", "10%", "Fleet-wide limit on what a new version gets during its rollout, as a share of the requests to its pool; off: no limit.", orOff(1, share, func(s *Settings) *float64 { return &s.Direct.ExposureShare })},
 	{"direct", "exposure-slack", "50", "Requests to a new version during its rollout that are allowed fleet-wide beyond that share; off: no limit.", orOff(maxFactor, factor, func(s *Settings) *float64 { return &s.Direct.ExposureSlack })},
 	{"direct", "rollback", "5s", "Time from when a version is known to be bad until it gets no more requests; off: no limit.", orOff(maxDuration, atLeast(time.Second), func(s *Settings) *time.Duration { return &s.Direct.Rollback })},
-	{"direct", "memory", "0", "Memory of the VM in MB; 0: that of the machine, or the limit of the process if that is lower.", factor(func(s *Settings) *float64 { return &s.Direct.Memory })},
-	{"direct", "descriptors", "0", "File descriptors that the process may open; 0: the limit of the process.", number(0, maxDescriptors, func(s *Settings) *int { return &s.Direct.Descriptors })},
-	{"direct", "connection-buffer", "8192", "Bytes that the kernel holds for a caller's connection in each direction: of requests that have not been read, and of answers that the caller has not acknowledged. While a large request comes in, more are drawn from the memory for requests; the next answer waits until the caller has taken the former one. 0: as many as the kernel decides.", optional(minConnectionBuffer, maxConnectionBuffer, func(s *Settings) *int { return &s.Direct.ConnectionBuffer })},
+	{"direct", "memory", "0", memoryComment, factor(func(s *Settings) *float64 { return &s.Direct.Memory })},
+	{"direct", "descriptors", "0", descriptorsComment, number(0, maxDescriptors, func(s *Settings) *int { return &s.Direct.Descriptors })},
+	{"direct", "connection-buffer", "8192", connectionBufferComment, optional(minConnectionBuffer, maxConnectionBuffer, func(s *Settings) *int { return &s.Direct.ConnectionBuffer })},
 	{"direct", "header-fields", "0", "Header lines that a request may have; 0: as many as the configuration's maxHeaderBytes has room for.", number(0, maxRequests, func(s *Settings) *int { return &s.Direct.HeaderFields })},
 	{"direct", "upstream-bytes", "33554432", "Bytes of request bodies that this VM may have in flight to one replica; 0: no limit.", number(0, maxDescriptors, func(s *Settings) *int { return &s.Direct.UpstreamBytes })},
 	{"direct", "revocation", "off", "Time in which an API key that was taken away is no longer accepted by any VM; off: no such bound.", orOff(0, atLeast(time.Second), func(s *Settings) *time.Duration { return &s.Direct.Revocation })},
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -46,6 +46,10 @@
 	Hedging     bool
 	Admission   bool
 	MaxInFlight int // requests
+	// Memory, Descriptors and ConnectionBuffer are as those of Direct.
+	Memory           float64
+	Descriptors      int
+	ConnectionBuffer int
 }
 
 // Egress configures sw-egress.
--- a/test/process/crowd_test.go
+++ b/test/process/crowd_test.go
@@ -27,7 +27,7 @@
 )
 
 // crowdSettings are the lines of the section [entry] for crowds.
-const crowdSettings = ""
+var crowdSettings = fmt.Sprintf("memory = %d\ndescriptors = %d\n", crowdMemory, crowdDescriptors)
 
 const crowdLine = " /v1/query/counter HTTP/1.1\r\nHost: h.example\r\nSw-Deadline-Ms: 5000\r\n"
 
