Close the connection whose answer takes longest, not one that stands still

A caller that reads a little now and then kept its connection when others needed one: closing looked at the time since the last progress. Now the connection whose answer has been on its way longest goes, after a second, when nothing else can. Also two allocations a request less. Found on reading the change; the specs of internal/callerhttp hold.

--- a/internal/callerhttp/body.go
+++ b/internal/callerhttp/body.go
@@ -32,7 +32,7 @@
 	br      *bufio.Reader
 	limit   int
 	account *membudget.Account
-	widen   func(bytes int) // makes room in the kernel for bytes of the body
+	conn    *conn // whose receive buffer has to hold the body
 
 	body     []byte
 	overhead int // of chunks, as maxChunkOverhead has it
@@ -66,7 +66,7 @@
 // expect makes room for so many more bytes of the body.
 func (b *bodyReader) expect(n int) {
 	if n -= b.br.Buffered(); n > bodyStep {
-		b.widen(n)
+		b.conn.widen(b.account, n)
 	}
 }
 
--- a/internal/callerhttp/conn.go
+++ b/internal/callerhttp/conn.go
@@ -32,7 +32,8 @@
 	used         bool          // a request was read
 	window       int           // bytes drawn for the kernel's receive buffer
 	unacked      int           // at most so many bytes of answers have not been acknowledged
-	stalledSince atomic.Int64  // since when the caller has taken nothing of an answer, in Unix ns; 0: none is being sent
+	sendingSince atomic.Int64  // since when an answer is being sent, in Unix ns; 0: none is
+	steps        stepWriter
 	// stopReceiving and stopSending end a request that is being read, or an answer that
 	// is being written, because its bytes are needed.
 	stopReceiving, stopSending func()
@@ -170,7 +171,7 @@
 			return nil, err
 		}
 	}
-	b := bodyReader{br: c.br, limit: limits.BodyBytes, account: account, widen: func(n int) { c.widen(account, n) }}
+	b := bodyReader{br: c.br, limit: limits.BodyBytes, account: account, conn: c}
 	if err := b.readInto(req); err != nil {
 		return nil, err
 	}
--- a/internal/callerhttp/overload.go
+++ b/internal/callerhttp/overload.go
@@ -2,13 +2,13 @@
 
 import "time"
 
-// stallTime is how long a caller may take nothing of its answer before its connection may be
-// closed for others.
-const stallTime = time.Second
+// sendTime is how long an answer may take to be sent before its connection may be closed for
+// others.
+const sendTime = time.Second
 
 // closeWaiting closes the connection that has waited longest for a whole request, or else
-// one whose caller doesn't read its answer, because something is short. It reports whether
-// there was one.
+// the one whose caller has taken longest to read its answer, because something is short. It
+// reports whether there was one.
 func (s *Server) closeWaiting(except *conn, short string) bool {
 	s.mu.Lock()
 	c := s.longest(func(c *conn) int64 {
@@ -18,9 +18,9 @@
 		return c.waitingSince.Load()
 	})
 	if c == nil {
-		stalled := time.Now().Add(-stallTime).UnixNano()
+		slow := time.Now().Add(-sendTime).UnixNano()
 		c = s.longest(func(c *conn) int64 {
-			if since := c.stalledSince.Load(); since < stalled {
+			if since := c.sendingSince.Load(); c != except && since < slow {
 				return since
 			}
 			return 0
--- a/internal/callerhttp/send.go
+++ b/internal/callerhttp/send.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"errors"
-	"io"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -27,13 +26,15 @@
 // write sends a response. It returns when the caller has acknowledged all but the connection's
 // buffer, so that the account covers what the kernel holds.
 func (c *conn) write(resp *fasthttp.Response, account *membudget.Account) error {
-	c.stalledSince.Store(time.Now().UnixNano())
-	defer c.stalledSince.Store(0)
-	w := io.Writer(&stepWriter{conn: c, account: account})
+	now := time.Now()
+	c.sendingSince.Store(now.UnixNano())
+	defer c.sendingSince.Store(0)
+	_ = c.nc.SetWriteDeadline(now.Add(writeTimeout))
+	c.steps = stepWriter{conn: c, account: account}
 	if c.bw == nil {
-		c.bw = bufio.NewWriterSize(w, 2<<10)
+		c.bw = bufio.NewWriterSize(&c.steps, 2<<10)
 	} else {
-		c.bw.Reset(w)
+		c.bw.Reset(&c.steps)
 	}
 	if err := resp.Write(c.bw); err != nil {
 		return err
@@ -54,7 +55,6 @@
 func (s *stepWriter) Write(p []byte) (int, error) {
 	written := 0
 	for len(p) > 0 {
-		_ = s.conn.nc.SetWriteDeadline(time.Now().Add(writeTimeout))
 		n, err := s.conn.nc.Write(p[:min(len(p), writeStep)])
 		written += n
 		s.conn.unacked += n
@@ -63,7 +63,6 @@
 		}
 		if p = p[n:]; len(p) > 0 {
 			s.account.Moved(n)
-			s.conn.stalledSince.Store(time.Now().UnixNano())
 		}
 	}
 	return written, nil
@@ -85,7 +84,6 @@
 		if n < c.unacked {
 			account.Moved(c.unacked - n)
 			since = now
-			c.stalledSince.Store(now.UnixNano())
 		}
 		c.unacked = n
 		switch {
--- a/internal/callerhttp/server.go
+++ b/internal/callerhttp/server.go
@@ -49,7 +49,8 @@
 var DefaultLimits = Limits{HeaderBytes: 16 << 10, BodyBytes: 1 << 20, HeaderTimeout: 5 * time.Second, IdleTimeout: 60 * time.Second}
 
 const (
-	// writeTimeout is how long a caller may take to read a part of a response.
+	// writeTimeout is how long a caller may take until the kernel has all of a response, and
+	// then without acknowledging any of it.
 	writeTimeout = 10 * time.Second
 	// pollInterval is how often a shutdown checks for open connections, and how
 	// long Listen waits after a failed accept.
@@ -114,8 +115,8 @@
 
 // SetConnectionBuffer sets the bytes that the kernel holds for each connection, of requests
 // that have not been read, and of answers that the caller has not acknowledged; 0: as many as
-// the kernel decides. More are drawn from the budget while a large request arrives or a large
-// answer is sent. It must be called before Listen.
+// the kernel decides. More are drawn from the budget while a large request arrives. It must be
+// called before Listen.
 func (s *Server) SetConnectionBuffer(bytes int) { s.buffer = bytes }
 
 // SetRefusal sets the function that completes the response to a request that was not read
