--- a/internal/decide/retry/shared.go
+++ b/internal/decide/retry/shared.go
@@ -123,41 +123,25 @@
 
 // Part is the attempts of one request at one part.
 type Part struct {
-	ended   bool // one attempt is settled or withdrawn
-	settled bool // one attempt is, so that further ones are extra
+	settled bool // one attempt is
 }
 
-// Settle records that an attempt at a part is known to have arrived, or was sent and will
-// never arrive. The first of a part's attempts to be settled is the one that isn't extra.
+// Settle records that an attempt at a part is known to have arrived, or to arrive
+// never. The first of a part's attempts to be settled is the one that isn't extra.
 func (s *SharedBudget) Settle(now time.Time, p *Part) {
 	s.slide(now)
 	s.settle(p)
 }
 
-// Withdraw records that an attempt at a part ended before any byte of it was sent. The
-// upstream got nothing, so it is not charged.
-func (s *SharedBudget) Withdraw(now time.Time, p *Part) {
-	s.slide(now)
-	s.release(p)
-}
-
 // settle is Settle in the current step.
 func (s *SharedBudget) settle(p *Part) {
-	s.release(p)
-	if p.settled {
-		s.extra[s.step%extraSteps]++
-		s.sums[1]++
-	}
-	p.settled = true
-}
-
-// release ends the reservation of an attempt at a part. All but one of a part's attempts
-// have one.
-func (s *SharedBudget) release(p *Part) {
-	if p.ended {
-		s.unsettled--
+	if !p.settled {
+		p.settled = true
+		return
 	}
-	p.ended = true
+	s.unsettled--
+	s.extra[s.step%extraSteps]++
+	s.sums[1]++
 }
 
 // Abandon records that an attempt at a part was given up after it was written to a
--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -280,10 +280,6 @@
 		budget.Abandon(now, upstream, part)
 		return
 	}
-	if a.result() == gather.NotSent {
-		budget.Withdraw(now, part)
-		return
-	}
 	budget.Settle(now, part)
 	if w.Reply != nil {
 		budget.Answered(now, upstream, w.AssignedAt)
