Hand requests over if a VM can open no connection and has no free one

Cause: a VM judged its way to the replicas by whether it heard any, not by whether it could send. Of 427 failed requests 388 ended after one attempt with connect-failed because the budget for extra attempts was used up, 39 after two or four, and none was handed over: any reply on an open connection kept the VM from taking itself for cut off. connpool ended an attempt when a connection for it was refused, though an open one would soon have been free.

decide/reach now knows the connections to each replica, and calls a pool degraded if the VM can open none to most of its replicas. Requests to such a pool go to replicas with a free connection, or else to another VM, before an attempt is spent; if no VM takes one, it waits for an open connection that is expected to be free in time, or is refused at once. Failed connections don't count against replicas meanwhile. When connections can be opened again, several are, so that the first replica to be reached doesn't get all requests.

--- a/internal/connpool/attempt.go
+++ b/internal/connpool/attempt.go
@@ -86,6 +86,10 @@
 	// the pool such as Send or Cancel. It must not block.
 	Done func(a *Attempt)
 
+	// Queue states that the attempt waits for an open connection when no further one can be
+	// opened. Otherwise it ends then, so that it can be sent to another replica.
+	Queue bool
+
 	// Refuse returns why the request must not be sent any more, or nil. It is called when
 	// an attempt that waited gets a connection, and must not block; nil: it may be sent.
 	Refuse func() *verdict.Error
--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -65,6 +65,8 @@
 	idle    []*conn // the most recently used one is last
 	waiting []*Attempt
 	dialing int
+	// refusedAt is when a connection could not be opened, if none was opened since.
+	refusedAt time.Time
 	// unfinished is the number of connections whose request has been answered while it is
 	// still being written.
 	unfinished int
@@ -283,7 +285,7 @@
 // dialMore opens connections for the waiting attempts, within the limits. p.mu is
 // held.
 func (p *Pool) dialMore() {
-	for p.dialing < min(maxDials, len(p.waiting)) && len(p.conns)+p.dialing < p.limit {
+	for p.dialing < min(maxDials, p.needDial()) && len(p.conns)+p.dialing < p.limit {
 		p.dialing++
 		go p.open()
 	}
@@ -304,7 +306,7 @@
 }
 
 // open opens one connection and sends the first waiting attempt on it. If the
-// connection can't be opened, that attempt fails.
+// connection can't be opened, the first attempt fails that can't wait for an open one.
 func (p *Pool) open() {
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
@@ -312,7 +314,8 @@
 	p.mu.Lock()
 	p.dialing--
 	if err != nil {
-		a := p.nextWaiting()
+		p.refusedAt = time.Now()
+		a := p.nextUnqueued()
 		p.dialMore()
 		p.mu.Unlock()
 		if a != nil {
@@ -320,20 +323,12 @@
 		}
 		return
 	}
-	c := newConn(p, nc)
 	if p.closed {
 		p.mu.Unlock()
 		_ = nc.Close()
 		return
 	}
-	p.conns[c] = struct{}{}
-	a := p.nextWaiting()
-	if a != nil {
-		a.ended = false
-		c.assign(a)
-	} else {
-		c.release(time.Now())
-	}
+	c, a := p.add(nc)
 	p.mu.Unlock()
 	p.count("connections_opened")
 	go c.read()
@@ -348,22 +343,26 @@
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	nc, err := p.dial(ctx, p.addr)
+	p.mu.Lock()
 	if err != nil {
+		p.refusedAt = time.Now()
+		p.mu.Unlock()
 		return err
 	}
-	p.mu.Lock()
 	if p.closed || len(p.conns)+p.dialing >= p.limit {
+		p.refusedAt = time.Time{}
 		p.mu.Unlock()
 		_ = nc.Close()
 		return nil
 	}
-	c := newConn(p, nc)
-	p.conns[c] = struct{}{}
+	c, a := p.add(nc)
 	p.empty.Store(false)
-	c.release(time.Now())
 	p.mu.Unlock()
 	p.count("connections_opened")
 	go c.read()
+	if a != nil {
+		c.write(a)
+	}
 	return nil
 }
 
--- a/internal/decide/reach/machine.go
+++ b/internal/decide/reach/machine.go
@@ -1,6 +1,9 @@
 package reach
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 const (
 	// quietAll and quietPool are the times without a sign of any replica, and of any
@@ -16,6 +19,9 @@
 	// are as many, before a cut from all replicas counts as ended.
 	minHeard  = 2
 	heardTime = time.Second
+	// refusalAge is how long a connection that could not be opened counts, unless its pool
+	// is degraded.
+	refusalAge = 5 * time.Second
 	// settleTime is the time after a pause of the process in which nothing is judged:
 	// answers that came meanwhile have not been read.
 	settleTime = 500 * time.Millisecond
@@ -27,10 +33,11 @@
 	relapseTime = 10 * time.Second
 )
 
-// Replica is one replica with its path.
+// Replica is one replica with its path and the connections to it.
 type Replica struct {
 	Pool string
 	Path *Path
+	Way  Way
 }
 
 // Cuts is what a VM seems to be cut off from.
@@ -40,14 +47,21 @@
 	Began time.Time       // with All: when that was judged
 	Heard bool            // with All: some replica was heard lately
 	Pools map[string]bool // pools of which it hears no replica, if not All
+	// Degraded is the pools, if not All, to most of whose replicas it can open no
+	// connection, though replicas of them may be heard on open ones.
+	Degraded map[string]bool
 }
 
-// Any reports whether there is any cut.
-func (c Cuts) Any() bool { return c.All || len(c.Pools) > 0 }
+// Any reports whether the VM can't send to replicas as usual.
+func (c Cuts) Any() bool { return c.All || len(c.Pools) > 0 || len(c.Degraded) > 0 }
 
 // Has reports whether the VM seems to be cut off from a pool.
 func (c Cuts) Has(pool string) bool { return c.All || c.Pools[pool] }
 
+// Impaired reports whether the VM can't send to a pool as usual: it seems to be cut off
+// from it, or the pool is degraded.
+func (c Cuts) Impaired(pool string) bool { return c.Has(pool) || c.Degraded[pool] }
+
 // Machine judges the paths to all replicas. It is not safe for concurrent use.
 type Machine struct {
 	cuts     Cuts
@@ -76,7 +90,10 @@
 		m.begin(now, heard)
 		return true
 	}
-	return m.judgePools(now, replicas)
+	degraded := m.judgeDegraded(now, replicas)
+	changed := !maps.Equal(degraded, m.cuts.Degraded)
+	m.cuts.Degraded = degraded
+	return m.judgePools(now, replicas) || changed
 }
 
 // signs returns the last sign of any of the replicas, and the number of those of which
@@ -144,10 +161,7 @@
 			cut[pool] = true
 		}
 	}
-	changed := len(cut) != len(m.cuts.Pools)
-	for pool := range cut {
-		changed = changed || !m.cuts.Pools[pool]
-	}
+	changed := !maps.Equal(cut, m.cuts.Pools)
 	m.cuts.Pools = cut
 	return changed
 }
--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -65,7 +65,8 @@
 		return nil
 	}
 	a := &attempt{call: c, part: planned.Part, kind: planned.Kind, replica: r}
-	a.wire = connpool.Attempt{Request: &c.wire, Deadline: c.attemptDeadline(planned.Kind), SentAt: now, Done: func(*connpool.Attempt) { a.done() }}
+	queue := !c.req.MayHandOver && s.reach.Cuts().Degraded[c.pools[planned.Part]]
+	a.wire = connpool.Attempt{Request: &c.wire, Deadline: c.attemptDeadline(planned.Kind), SentAt: now, Queue: queue, Done: func(*connpool.Attempt) { a.done() }}
 	if c.team != nil || !c.withKeys && c.req.PassThrough != nil {
 		a.wire.Refuse = c.refuseKey
 	}
@@ -163,6 +164,7 @@
 	replicas := replicaBuf[:0]
 	rejectionCost := p.rejectionCost(now)
 	distanceCosts, decided := c.s.distanceCosts(now, p)
+	degraded, access := c.s.reach.Cuts().Degraded[c.pools[part]], c.neededAccess()
 	for _, r := range p.replicas {
 		if of, usable := p.classOf(r); !usable || of != class {
 			continue
@@ -170,6 +172,16 @@
 		if !c.s.eligible(c, r) || !c.s.withinColdRate(now, r) || !r.limit.Allows(now, c.priority) || slices.Contains(c.tried[part], r.status.ID) {
 			continue
 		}
+		if degraded {
+			of := c.access(now, r)
+			if of < access {
+				c.unconnected = true
+				continue
+			}
+			if of > access { // better than those before
+				access, cands, replicas = of, cands[:0], replicas[:0]
+			}
+		}
 		cand := placement.Candidate{Replica: r.observed, Distance: r.distance, Draining: r.status.State == discovery.LastResort, RejectionCost: rejectionCost, Decided: decided}
 		if decided {
 			cand.DistanceCost = distanceCosts.Of(r.status.Zone, r.distance)
@@ -239,6 +251,9 @@
 		s.metrics.observe("attempt", took)
 	case w.Err.Cause == verdict.Cancelled || w.Err.Cause == verdict.NoReplica || refusesKey(w.Err):
 		obs.Cancelled(w.SentAt)
+	case w.Err.Cause == verdict.ConnectFailed && s.reach.Cuts().Impaired(a.call.pools[a.part]):
+		obs.Cancelled(w.SentAt) // the way to many replicas is blocked, which says nothing of this one
+		s.metrics.add("attempt_unconnected", 1)
 	default:
 		obs.Failed(now, w.SentAt)
 		s.metrics.add("attempt_"+string(w.Err.Cause), 1)
@@ -338,6 +353,7 @@
 		err = verdict.Newf(outcome, verdict.UpstreamError, "status %d of %s", w.Reply.Status, a.replica.status.ID)
 	}
 	c.worst = verdict.Worse(c.worst, err)
+	c.unconnected = c.unconnected || err.Cause == verdict.ConnectFailed
 	c.s.log.Info("attempt").Str("id", c.req.ID).Str("pool", c.pools[a.part]).Str("upstream", a.replica.status.ID).
 		Str("outcome", err.Outcome.String()).Str("cause", string(err.Cause)).Str("detail", err.Detail).
 		Stringer("extra", a.kind).Dur("took", time.Since(w.SentAt)).Dur("waited", a.connectionWait(time.Now())).Uint8("result", uint8(result)).Msg("attempt ended without an answer")
--- a/internal/direct/reach.go
+++ b/internal/direct/reach.go
@@ -26,18 +26,18 @@
 	s.reachJudgedAt = now
 	replicas := make([]reach.Replica, 0, len(s.replicas))
 	for _, r := range s.replicas {
-		replicas = append(replicas, reach.Replica{Pool: r.status.Pool, Path: r.path})
+		replicas = append(replicas, reach.Replica{Pool: r.status.Pool, Path: r.path, Way: r.conns.Way()})
 	}
 	if !s.reach.Judge(now, replicas) {
 		return
 	}
 	cuts := s.reach.Cuts()
 	s.metrics.add("reach_changed", 1)
-	e := s.log.Warn("reach").Bool("cut_off", cuts.All).Int("pools", len(cuts.Pools)).Int("replicas", len(replicas))
+	e := s.log.Warn("reach").Bool("cut_off", cuts.All).Int("pools", len(cuts.Pools)).Int("degraded", len(cuts.Degraded)).Int("replicas", len(replicas))
 	if cuts.All {
 		e = e.Dur("quiet", now.Sub(cuts.Since))
 	}
-	e.Msg("replicas that this VM hears nothing from have changed")
+	e.Msg("pools that this VM can't send to as usual have changed")
 }
 
 // observePath records what the end of an attempt shows of the way to its replica. s.mu is
--- a/internal/direct/request.go
+++ b/internal/direct/request.go
@@ -34,6 +34,10 @@
 	// Leave is closed when the VM is cut off from the replicas and another one can serve
 	// the request; nil: never.
 	Leave <-chan struct{}
+	// MayHandOver states that another VM can be asked to serve the request if no connection
+	// to a replica is free here and none can be opened. Otherwise the request waits for an
+	// open connection.
+	MayHandOver bool
 	// MaxAttempts bounds the replicas that may execute a part, in addition to the route;
 	// 0: the route alone does.
 	MaxAttempts int
@@ -63,8 +67,11 @@
 }
 
 // HandOver states that another VM should serve the request, since this one is cut off
-// from the replicas.
+// from the replicas or has no connection for it.
 type HandOver struct {
+	// Unconnected states that the request got no connection. If no other VM takes it, it can
+	// be served here without MayHandOver.
+	Unconnected bool
 	MaxAttempts int            // replicas that may still execute a part
 	Counted     bool           // the request is counted for its team as one that began
 	Refusal     *verdict.Error // for the caller, if no other VM can
--- a/internal/direct/serve.go
+++ b/internal/direct/serve.go
@@ -66,6 +66,7 @@
 	span        trace.Span      // nil: not sampled
 	queued      int             // most bytes for other VMs in the link when attempts were sent
 	limitWait   time.Duration   // after which the replicas' limits have room for a part that was not sent
+	unconnected bool            // a part was not sent for want of a connection
 	keyRefusal  *verdict.Error  // why attempts are no longer sent for the caller's key; nil: they are
 	counted     bool            // the request is counted for its team; guarded by s.mu
 	unanswered  bool            // the call has ended without an answer; guarded by s.mu
@@ -257,10 +258,16 @@
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
 	leave := c.req.Leave
+	if h := c.handOverUnsent(); h != nil {
+		return &Answer{HandOver: h}
+	}
 	for {
 		outcome, next := c.step(time.Now())
 		if outcome != gather.Pending {
 			c.cancelAttempts(lateAnswerGrace)
+			if h := c.handOverUnconnected(outcome); h != nil {
+				return &Answer{HandOver: h}
+			}
 			return c.answer(outcome)
 		}
 		timer.Reset(time.Until(next))
--- a/internal/handover/doc.go
+++ b/internal/handover/doc.go
@@ -9,6 +9,9 @@
 // reaches more replicas than this one, they are down, and the VM goes on by itself. A
 // request that needs only pools whose replicas this VM hears stays here.
 //
+// A request that needs a degraded pool is served here as long as an open connection is free
+// for it, and handed over otherwise. If no VM takes it, it waits for an open connection.
+//
 // Meanwhile the VM opens a connection to one of the lost replicas at a time. When these
 // succeed, it serves by itself again.
 package handover
--- a/internal/handover/help.go
+++ b/internal/handover/help.go
@@ -37,8 +37,10 @@
 	reply := &swpb.ReachReply{Busy: uint32(s.busy.Load()), CutOff: s.cfg.Draining()}
 	if cuts := s.cut.Load(); cuts != nil {
 		reply.CutOff = reply.CutOff || cuts.All
-		for pool := range cuts.Pools {
-			reply.LostPools = append(reply.LostPools, pool)
+		for _, pools := range []map[string]bool{cuts.Pools, cuts.Degraded} {
+			for pool := range pools {
+				reply.LostPools = append(reply.LostPools, pool)
+			}
 		}
 	}
 	return reply
@@ -69,7 +71,7 @@
 	s.metrics.Add("served", 1)
 	s.log.Info("handover").Str("id", req.ID).Str("from", from).Dur("age", time.Since(req.Arrived)).Msg("request of another VM")
 	s.mu.Lock()
-	req.Leave = s.leave
+	req.Leave, req.MayHandOver = s.leave, true
 	s.mu.Unlock()
 	return replyToProto(s.tier.Serve(req))
 }
--- a/internal/handover/serve.go
+++ b/internal/handover/serve.go
@@ -20,8 +20,11 @@
 
 // Serve answers a caller's request.
 func (s *Service) Serve(req *direct.Request) *direct.Answer {
-	if a, ok := s.viaOther(req, 0, req.Counted, nil); ok {
-		return a
+	if cuts := s.cut.Load(); cuts != nil {
+		if a, ok := s.viaOther(req, cuts.Has, &direct.HandOver{Counted: req.Counted}); ok {
+			return a
+		}
+		req.MayHandOver = len(cuts.Degraded) > 0 && s.hasHelper(req, cuts)
 	}
 	if v := s.refuse(req); v != nil {
 		s.metrics.Add("refused", 1)
@@ -35,31 +38,60 @@
 	if a.HandOver == nil {
 		return a
 	}
-	if handed, ok := s.viaOther(req, a.HandOver.MaxAttempts, a.HandOver.Counted, a.HandOver.Refusal); ok {
-		return handed
+	return s.leaveTo(req, a.HandOver)
+}
+
+// leaveTo has another VM serve a request that was begun here. One that got no connection
+// here is served here after all if no other VM takes it.
+func (s *Service) leaveTo(req *direct.Request, h *direct.HandOver) *direct.Answer {
+	lost := func(string) bool { return false }
+	if cuts := s.cut.Load(); cuts != nil {
+		lost = cuts.Impaired
+	}
+	a, ok := s.viaOther(req, lost, h)
+	switch {
+	case !ok:
+		a = &direct.Answer{Refusal: h.Refusal}
+	case a.Refusal == nil || !s.tryAnother(req, a):
+		return a
+	}
+	if !h.Unconnected || a.Refusal.Outcome != verdict.NotRun {
+		return a
 	}
-	return &direct.Answer{Refusal: a.HandOver.Refusal}
+	s.metrics.Add("returned", 1)
+	req.MayHandOver, req.MaxAttempts, req.Counted = false, h.MaxAttempts, h.Counted
+	return s.tier.Serve(req)
 }
 
-// viaOther has another VM serve a request that can't be served whole here. ok is false if
-// no other VM can do better, or none takes it and it can be served in part here. before is
-// the verdict on what was sent before, or nil: it may have run, whatever the other VM says.
-// counted states that the request is counted for its team.
-func (s *Service) viaOther(req *direct.Request, maxAttempts int, counted bool, before *verdict.Error) (a *direct.Answer, ok bool) {
-	cuts := s.cut.Load()
-	if cuts == nil {
-		return nil, false
+// hasHelper reports whether another VM says that it reaches more of the pools that a request
+// needs than this one.
+func (s *Service) hasHelper(req *direct.Request, cuts *reach.Cuts) bool {
+	need, known := s.tier.NeedOf(req)
+	if !known {
+		return false
 	}
+	here := need.Missing(cuts.Impaired)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return here > 0 && s.helpers.Any(time.Now(), betterThan(&need, here))
+}
+
+// viaOther has another VM serve a request that can't be served whole here, for want of the
+// pools that are lost. ok is false if no other VM can do better, or none takes it and it can
+// be served in part here. h is what is known of the request: its refusal is the verdict on
+// what was sent before, or nil: it may have run, whatever the other VM says.
+func (s *Service) viaOther(req *direct.Request, lost func(pool string) bool, h *direct.HandOver) (a *direct.Answer, ok bool) {
 	need, known := s.tier.NeedOf(req)
-	if !known || need.Missing(cuts.Has) == 0 {
+	if !known || need.Missing(lost) == 0 {
 		return nil, false
 	}
+	maxAttempts, counted, before := h.MaxAttempts, h.Counted, h.Refusal
 	var tried []string
 	for len(tried) < maxHelpers {
 		if v := s.refusal(req, &need, before); v != nil {
 			return &direct.Answer{Refusal: v}, true
 		}
-		c, found := s.choose(&need, cuts, tried)
+		c, found := s.choose(&need, lost, tried)
 		if !found {
 			break
 		}
@@ -78,7 +110,7 @@
 			return a, true
 		}
 	}
-	return a, a != nil && !need.ServableWithout(cuts.Has)
+	return a, a != nil && !need.ServableWithout(lost)
 }
 
 // refusal returns why a request must not be handed over now, or nil: its key may have been
@@ -120,8 +152,8 @@
 }
 
 // choose chooses a VM that reaches more of the pools that a request needs than this one.
-func (s *Service) choose(need *direct.Need, cuts *reach.Cuts, tried []string) (helpers.Choice, bool) {
-	here := need.Missing(cuts.Has)
+func (s *Service) choose(need *direct.Need, lost func(pool string) bool, tried []string) (helpers.Choice, bool) {
+	here := need.Missing(lost)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if need.Allowed != nil {
@@ -132,10 +164,16 @@
 			}
 		}
 	}
-	return s.helpers.Choose(time.Now(), func(lost map[string]bool) bool {
+	return s.helpers.Choose(time.Now(), betterThan(need, here), tried)
+}
+
+// betterThan returns a function that reports whether a VM that has lost some pools can serve
+// a request, and lacks fewer of its pools than a number.
+func betterThan(need *direct.Need, here int) func(lost map[string]bool) bool {
+	return func(lost map[string]bool) bool {
 		isLost := func(pool string) bool { return lost[pool] }
 		return need.Missing(isLost) < here && need.ServableWithout(isLost)
-	}, tried)
+	}
 }
 
 // tryAnother reports whether a request should be handed over to another VM: it has not
@@ -153,7 +191,7 @@
 	default:
 	}
 	switch v.Cause {
-	case verdict.PeerLost, verdict.ShuttingDown, verdict.Overload, verdict.NoReplica, verdict.NotReady, verdict.KeysOutdated:
+	case verdict.PeerLost, verdict.ShuttingDown, verdict.Overload, verdict.NoReplica, verdict.NotReady, verdict.KeysOutdated, verdict.ConnectFailed:
 		return true
 	}
 	return false
@@ -175,7 +213,7 @@
 		req.Account.Force(bodyBytes(a))
 	}
 	s.mu.Lock()
-	s.helpers.Done(time.Now(), c.Name, a.HandOver != nil || a.Refusal != nil && a.Refusal.Cause == verdict.PeerLost)
+	s.helpers.Done(time.Now(), c.Name, a.HandOver != nil || a.Refusal != nil && (a.Refusal.Cause == verdict.PeerLost || a.Refusal.Cause == verdict.ConnectFailed))
 	s.mu.Unlock()
 	endSpan(outcomeOf(a))
 	s.logHandover(req, c, a, time.Since(begin))
