Pass on no promise that a request has not run, unless the replica proves it

Cause: direct kept back a 503 without a proof, but no 429 or 408, and with a receipt any status below 500 was passed on. verdict had a second list. Now verdict.PromisesNotRun is the only list of such statuses, and connpool.Reply says for all readers whether a reply is a failure and whether it may be passed on. Replies that another VM hands over are checked by the same function. The caller gets 502 and no receipt.

--- a/internal/connpool/attempt.go
+++ b/internal/connpool/attempt.go
@@ -62,6 +62,16 @@
 // OK reports whether the replica executed the request successfully.
 func (r *Reply) OK() bool { return !r.NotRun && r.Status >= 200 && r.Status < 300 }
 
+// Failed reports whether the replica may have executed the request and doesn't say with what
+// result. A status that promises that it did not is a failure without a proof of that.
+func (r *Reply) Failed() bool {
+	return !r.NotRun && (r.Status >= 500 || verdict.PromisesNotRun(r.Status))
+}
+
+// MayBePassedOn reports whether callers may get the reply: its status makes no promise that
+// the replica hasn't proved.
+func (r *Reply) MayBePassedOn() bool { return r.NotRun || !verdict.PromisesNotRun(r.Status) }
+
 // Codec writes requests and reads replies.
 type Codec interface {
 	// AppendRequest appends the request to dst, addressed to the replica with an
--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -1,7 +1,6 @@
 package direct
 
 import (
-	"net/http"
 	"slices"
 	"time"
 
@@ -240,7 +239,7 @@
 		obs.Rejected(now, w.SentAt)
 		s.observeArrival(now, a, true)
 		s.metrics.add("attempt_rejected", 1)
-	case w.Reply != nil && w.Reply.Status >= 500:
+	case w.Reply != nil && w.Reply.Failed():
 		obs.Failed(now, w.SentAt)
 		s.metrics.add("attempt_failed", 1)
 	case w.Reply != nil:
@@ -325,7 +324,7 @@
 	switch {
 	case w.Reply != nil && w.Reply.OK() && w.Reply.Receipt != "":
 		return gather.Served
-	case w.Reply != nil && !w.Reply.NotRun && w.Reply.Status < 500 && w.Reply.Receipt != "" && a.call.route.Kind != tables.Query:
+	case w.Reply != nil && !w.Reply.NotRun && !w.Reply.Failed() && w.Reply.Receipt != "" && a.call.route.Kind != tables.Query:
 		return gather.Served // the replica's own answer, passed on to the caller
 	case w.Reply != nil && w.Reply.NotRun:
 		return gather.Rejected
@@ -347,7 +346,7 @@
 		switch {
 		case w.Reply.NotRun:
 			outcome = verdict.NotRun
-		case w.Reply.Status != http.StatusServiceUnavailable: // would promise that the request has not run
+		case w.Reply.MayBePassedOn():
 			c.failedReply = w.Reply
 		}
 		err = verdict.Newf(outcome, verdict.UpstreamError, "status %d of %s", w.Reply.Status, a.replica.status.ID)
--- a/internal/direct/serve.go
+++ b/internal/direct/serve.go
@@ -61,7 +61,7 @@
 	budgetParts []retry.Part      // by part; guarded by s.mu
 	inFlight    []*attempt
 	worst       *verdict.Error  // worst verdict of the failed attempts
-	failedReply *connpool.Reply // reply of a replica that failed to execute the request
+	failedReply *connpool.Reply // reply of a replica that failed to execute the request, for the caller
 	sentByKind  [3]int          // attempts sent, by gather.Kind
 	span        trace.Span      // nil: not sampled
 	queued      int             // most bytes for other VMs in the link when attempts were sent
--- a/internal/direct/versions.go
+++ b/internal/direct/versions.go
@@ -381,7 +381,7 @@
 		begun = w.AssignedAt
 	}
 	took := now.Sub(begun)
-	failed := w.Reply != nil && !w.Reply.NotRun && w.Reply.Status >= 500 && !a.expired(now)
+	failed := w.Reply != nil && w.Reply.Failed() && !a.expired(now)
 	lost := w.Err != nil && (w.Err.Cause == verdict.ConnectionLost || w.Err.Cause == verdict.BadAnswer)
 	slow := took > slowFactor*a.call.typical
 	counts := a.call.s.poolOf(a.call.pools[a.part]).countsOf(a.replica.status.Version)
--- a/internal/handover/status_test.go
+++ b/internal/handover/status_test.go
@@ -18,7 +18,19 @@
 		g.Expect(a.Reply).To(BeNil(), "%d", status)
 		g.Expect(a.Refusal.Outcome).To(Equal(verdict.MayHaveRun), "%d", status)
 	}
-	for _, status := range []uint32{200, 599} {
+	for _, status := range []uint32{200, 400, 500, 599} {
 		g.Expect(answerFromProto(&swpb.HandoverReply{Reply: &swpb.ReplicaReply{Status: status}}).Reply.Status).To(BeEquivalentTo(status))
 	}
 }
+
+// Guards against a promise that the request has not run, which a VM of an earlier build
+// passes on though the replica hasn't proved it (issue 60).
+func TestReplyWithUnprovedPromiseIsNoAnswer(t *testing.T) {
+	g := NewWithT(t)
+	for _, status := range []uint32{408, 421, 429, 503} {
+		a := answerFromProto(&swpb.HandoverReply{Reply: &swpb.ReplicaReply{Status: status}})
+		g.Expect(a.Reply).To(BeNil(), "%d", status)
+		g.Expect(a.Refusal.Outcome).To(Equal(verdict.RanFailed), "%d", status)
+		g.Expect(a.Refusal.HTTPStatus()).To(Equal(502), "%d", status)
+	}
+}
--- a/internal/handover/wire.go
+++ b/internal/handover/wire.go
@@ -75,6 +75,15 @@
 	return &swpb.HandoverReply{Reply: &swpb.ReplicaReply{Status: uint32(r.Status), Header: toFields(r.Header), Body: r.Body, NotRun: r.NotRun}}
 }
 
+// answerOfReply returns the answer with a replica's reply that another VM passes on.
+func answerOfReply(p *swpb.ReplicaReply) *direct.Answer {
+	r := &connpool.Reply{Status: int(p.GetStatus()), Header: fromFields(p.GetHeader()), Body: p.GetBody(), NotRun: p.GetNotRun()}
+	if !r.MayBePassedOn() { // a VM of an earlier build passes it on
+		return &direct.Answer{Refusal: verdict.Newf(verdict.RanFailed, verdict.UpstreamError, "status %d of a replica", r.Status)}
+	}
+	return &direct.Answer{Reply: r}
+}
+
 // answerFromProto returns the answer of another VM. A reply without any, as of a build
 // that doesn't know the call, says that the request did not run there.
 func answerFromProto(r *swpb.HandoverReply) *direct.Answer {
@@ -89,8 +98,7 @@
 	case r.GetReply() != nil && !httpreply.ValidStatus(int(r.GetReply().GetStatus())):
 		return &direct.Answer{Refusal: verdict.Newf(verdict.MayHaveRun, verdict.BadAnswer, "status %d in place of an answer", r.GetReply().GetStatus())}
 	case r.GetReply() != nil:
-		p := r.GetReply()
-		return &direct.Answer{Reply: &connpool.Reply{Status: int(p.GetStatus()), Header: fromFields(p.GetHeader()), Body: p.GetBody(), NotRun: p.GetNotRun()}}
+		return answerOfReply(r.GetReply())
 	}
 	return &direct.Answer{Refusal: verdict.New(verdict.NotRun, verdict.PeerLost, "the VM takes no requests of others")}
 }
--- a/internal/upstreamclient/do.go
+++ b/internal/upstreamclient/do.go
@@ -142,7 +142,7 @@
 	switch {
 	case status == fasthttp.StatusOK && !notRun:
 		return parseAnswer(resp, a)
-	case status == upstream.StatusSnapshotGone:
+	case status == upstream.StatusSnapshotGone && (notRun || a.Snapshot != 0):
 		return Answer{}, verdict.Newf(verdict.NotRun, verdict.SnapshotGone, "snapshot %d is not held", a.Snapshot)
 	case status == upstream.StatusRejected && notRun:
 		return Answer{}, verdict.New(verdict.NotRun, verdict.Shed, "the upstream is too busy").WithRetryAfter(parseRetryAfter(resp))
--- a/internal/verdict/http.go
+++ b/internal/verdict/http.go
@@ -53,17 +53,25 @@
 	return http.StatusServiceUnavailable
 }
 
-// HTTPStatus returns the status of an answer to e. Some callers take 503 and 429
-// to mean that the request was not executed, so these two are used only with
-// NotRun, and a 5xx status with NotRun is always 503. Callers that read the
-// problem document rely on its verdict instead.
+// PromisesNotRun reports whether callers take a status to mean that their request was not
+// executed and never will be.
+func PromisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
+// HTTPStatus returns the status of an answer to e. One that promises that the request was
+// not executed is used only with NotRun, and a 5xx status with NotRun is always 503. Callers
+// that read the problem document rely on its verdict instead.
 func (e *Error) HTTPStatus() int {
 	status := e.Cause.Status()
-	impliesNotRun := status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
 	switch {
 	case e.Outcome == NotRun && status >= http.StatusInternalServerError:
 		return http.StatusServiceUnavailable
-	case e.Outcome != NotRun && impliesNotRun:
+	case e.Outcome != NotRun && PromisesNotRun(status):
 		return http.StatusBadGateway
 	}
 	return status
