--- a/internal/httpreply/conn.go
+++ b/internal/httpreply/conn.go
@@ -1,13 +1,22 @@
 package httpreply
 
-import "net"
+import (
+	"errors"
+	"net"
+)
+
+// maxHeadBytes bounds the head of a reply on a Conn.
+const maxHeadBytes = 64 << 10
+
+var errHeadTooLarge = errors.New("head of a reply is too large")
 
 // Conn is a client's connection whose replies are checked as they come in, for clients that
 // read replies themselves. It carries one call at a time: the first bytes that are read
 // after a write begin a reply.
 type Conn struct {
 	net.Conn
-	begin []byte // of the reply that is coming in; nil: it has been checked
+	head     []byte // of the reply that is coming in
+	awaiting bool   // the head has not ended
 }
 
 // NewConn returns the checked connection on nc.
@@ -15,22 +24,29 @@
 
 // Write implements net.Conn.
 func (c *Conn) Write(p []byte) (int, error) {
-	c.begin = make([]byte, 0, StatusLineBytes)
+	c.head, c.awaiting = c.head[:0], true
 	return c.Conn.Write(p)
 }
 
-// Read implements net.Conn. It fails with ErrStatusLine if no valid reply begins.
+// Read implements net.Conn. It fails if no valid reply begins. The bytes with which a
+// malformed head ends are not returned.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if c.begin == nil {
+	if !c.awaiting {
 		return n, err
 	}
-	c.begin = append(c.begin, p[:min(n, StatusLineBytes-len(c.begin))]...)
-	if bad := CheckStatusLine(c.begin); bad != nil {
+	c.head = append(c.head, p[:n]...)
+	if bad := CheckStatusLine(c.head); bad != nil {
 		return 0, bad
 	}
-	if len(c.begin) == StatusLineBytes {
-		c.begin = nil
+	switch end := headEnd(c.head); {
+	case end > 0:
+		if bad := CheckHead(c.head[:end]); bad != nil {
+			return 0, bad
+		}
+		c.head, c.awaiting = nil, false
+	case len(c.head) > maxHeadBytes:
+		return 0, errHeadTooLarge
 	}
 	return n, err
 }
--- /dev/null
+++ b/internal/httpreply/fields.go
@@ -0,0 +1,131 @@
+package httpreply
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+)
+
+// The errors of CheckHead and CheckField.
+var (
+	ErrField   = errors.New("malformed header field")
+	ErrFraming = errors.New("reply whose end is ambiguous")
+)
+
+// CheckHead checks the fields of a reply's head, and the text of its status line. A name
+// that isn't a token, such as one with a blank at its end, is an error, since readers differ
+// in what they take it for, and so is a line that continues the one before.
+func CheckHead(head []byte) error {
+	var f framing
+	first := true
+	for line := range bytes.Lines(head) {
+		line = trimLineEnd(line)
+		switch {
+		case len(line) == 0:
+			return f.check()
+		case first:
+			if hasControl(line) {
+				return fmt.Errorf("%w: %.40q", ErrStatusLine, line)
+			}
+			first = false
+			continue
+		}
+		name, value, err := splitField(line)
+		if err == nil {
+			err = f.observe(name, value)
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return f.check()
+}
+
+// CheckField checks one line of a head or a trailer, with or without its line end.
+func CheckField(line []byte) error {
+	_, _, err := splitField(trimLineEnd(line))
+	return err
+}
+
+func trimLineEnd(line []byte) []byte {
+	return bytes.TrimSuffix(bytes.TrimSuffix(line, []byte{'\n'}), []byte{'\r'})
+}
+
+// splitField returns the name and the value of a field.
+func splitField(line []byte) (name, value []byte, err error) {
+	name, value, found := bytes.Cut(line, []byte{':'})
+	if !found || !isToken(name) || hasControl(value) {
+		return nil, nil, fmt.Errorf("%w: %.40q", ErrField, line)
+	}
+	return name, bytes.Trim(value, " \t"), nil
+}
+
+// tokenChars are the characters of a token of HTTP.
+var tokenChars = func() (is [256]bool) {
+	for _, c := range "!#$%&'*+-.^_`|~0123456789ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz" {
+		is[c] = true
+	}
+	return is
+}()
+
+func isToken(b []byte) bool {
+	for _, c := range b {
+		if !tokenChars[c] {
+			return false
+		}
+	}
+	return len(b) > 0
+}
+
+// hasControl reports whether b has a control byte other than a tab.
+func hasControl(b []byte) bool {
+	for _, c := range b {
+		if c < ' ' && c != '\t' || c == 0x7f {
+			return true
+		}
+	}
+	return false
+}
+
+// framing is what the fields of a head say of where the body ends.
+type framing struct {
+	length, chunked bool
+}
+
+var (
+	contentLength    = []byte("Content-Length")
+	transferEncoding = []byte("Transfer-Encoding")
+	chunkedCoding    = []byte("chunked")
+)
+
+func (f *framing) observe(name, value []byte) error {
+	switch {
+	case bytes.EqualFold(name, contentLength):
+		if f.length || !isDecimal(value) {
+			return fmt.Errorf("%w: length %.40q", ErrFraming, value)
+		}
+		f.length = true
+	case bytes.EqualFold(name, transferEncoding):
+		if f.chunked || !bytes.EqualFold(value, chunkedCoding) {
+			return fmt.Errorf("%w: coding %.40q", ErrFraming, value)
+		}
+		f.chunked = true
+	}
+	return nil
+}
+
+func (f *framing) check() error {
+	if f.chunked && f.length {
+		return fmt.Errorf("%w: both a length and chunks", ErrFraming)
+	}
+	return nil
+}
+
+func isDecimal(b []byte) bool {
+	for _, c := range b {
+		if c < '0' || c > '9' {
+			return false
+		}
+	}
+	return len(b) > 0
+}
--- a/internal/httpreply/httpreply.go
+++ b/internal/httpreply/httpreply.go
@@ -1,7 +1,7 @@
 // Package httpreply checks what a peer sent before it is parsed as an HTTP reply. The HTTP
 // library takes some bytes for a reply that are none: it reads a status of 000 as 200, and
-// accepts statuses above 599, any protocol version, and replies with both a length and
-// chunks, whose end is ambiguous.
+// accepts statuses above 599, any protocol version, names of fields with blanks, lines that
+// continue the one before, and replies with both a length and chunks, whose end is ambiguous.
 //
 // Bytes that fail a check prove nothing about whether the request was executed.
 package httpreply
@@ -20,11 +20,13 @@
 	MaxStatus = 599
 )
 
-// The errors of Check and PeekHead.
-var (
-	ErrStatusLine = errors.New("no status line of HTTP/1.0 or HTTP/1.1 with a status from 200 to 599")
-	ErrFraming    = errors.New("reply has both a length and chunks")
-)
+// ErrStatusLine is the error of CheckStatusLine.
+var ErrStatusLine = errors.New("no status line of HTTP/1.0 or HTTP/1.1 with a status from 200 to 599")
+
+// IsMalformed reports whether an error of this package says that bytes are no HTTP reply.
+func IsMalformed(err error) bool {
+	return errors.Is(err, ErrStatusLine) || errors.Is(err, ErrField) || errors.Is(err, ErrFraming)
+}
 
 // ValidStatus reports whether a status is that of a final reply.
 func ValidStatus(status int) bool { return MinStatus <= status && status <= MaxStatus }
@@ -66,23 +68,23 @@
 // StatusLineBytes is the number of bytes that CheckStatusLine looks at.
 const StatusLineBytes = statusLineMin
 
-// PeekHead checks the status line of the next reply and returns its head, which has to fit
-// into the buffer of br. The head is valid until the next read that fills br.
-func PeekHead(br *bufio.Reader) ([]byte, error) {
+// PeekHead checks the head of the next reply, which has to fit into the buffer of br. Its
+// status line is checked as it comes in.
+func PeekHead(br *bufio.Reader) error {
 	for n := 1; ; n = br.Buffered() + 1 {
 		_, err := br.Peek(n)
 		switch {
 		case errors.Is(err, io.EOF) && br.Buffered() > 0:
-			return nil, io.ErrUnexpectedEOF
+			return io.ErrUnexpectedEOF
 		case err != nil:
-			return nil, err
+			return err
 		}
 		head, _ := br.Peek(br.Buffered())
 		if err := CheckStatusLine(head); err != nil {
-			return nil, err
+			return err
 		}
 		if end := headEnd(head); end > 0 {
-			return head[:end], nil
+			return CheckHead(head[:end])
 		}
 	}
 }
@@ -101,16 +103,3 @@
 		}
 	}
 }
-
-// CheckFraming returns ErrFraming if the head of a reply has a field Content-Length. It is
-// meant for a reply with chunks.
-func CheckFraming(head []byte) error {
-	name := []byte("content-length")
-	for line := range bytes.Lines(head) {
-		field, _, found := bytes.Cut(line, []byte{':'})
-		if found && bytes.EqualFold(bytes.TrimSpace(field), name) {
-			return ErrFraming
-		}
-	}
-	return nil
-}
--- a/internal/upstreamclient/conn.go
+++ b/internal/upstreamclient/conn.go
@@ -156,8 +156,8 @@
 // readResponse reads one answer. An answer without Content-Length ends when the
 // connection is closed, so that truncation could not be detected: it is an error.
 func (c *Conn) readResponse(resp *fasthttp.Response) error {
-	switch _, err := httpreply.PeekHead(c.br); {
-	case errors.Is(err, httpreply.ErrStatusLine):
+	switch err := httpreply.PeekHead(c.br); {
+	case httpreply.IsMalformed(err):
 		return badAnswer("%v", err)
 	case errors.Is(err, bufio.ErrBufferFull):
 		return badAnswer("headers over %d bytes", readBufferBytes)
