Bound the memory of answers that sw-egress is reading

An upstream that stated a large length and sent little, or nothing more, made sw-egress allocate the whole length at once for each connection, with no bound on all of them: 843 MB for 200 connections, which ends the process and with it the requests of others (LOST).

--- a/internal/upstreamclient/conn.go
+++ b/internal/upstreamclient/conn.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"sync/atomic"
 	"time"
@@ -11,6 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/sapphirewall/sapphirewall/internal/httpreply"
+	"github.com/sapphirewall/sapphirewall/internal/replybody"
 )
 
 // Buffer sizes of a connection. The read buffer also limits the headers of an
@@ -178,9 +180,16 @@
 	case n > c.maxAnswerBytes:
 		return badAnswer("body of %d bytes, at most %d", n, c.maxAnswerBytes)
 	}
-	if err := resp.ReadBody(c.br, c.maxAnswerBytes); err != nil {
+	body, err := replybody.Read(io.LimitReader(c.br, int64(n)), n, c.maxAnswerBytes, nil)
+	switch {
+	case errors.Is(err, replybody.ErrNoRoom):
+		return badAnswer("%v", err)
+	case err != nil:
 		return err
+	case len(body) < n:
+		return io.ErrUnexpectedEOF
 	}
+	resp.SetBodyRaw(body)
 	if resp.ConnectionClose() {
 		c.Close()
 	}
--- a/internal/upstreamclient/do.go
+++ b/internal/upstreamclient/do.go
@@ -1,7 +1,6 @@
 package upstreamclient
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -168,7 +167,7 @@
 	if err != nil {
 		return Answer{}, badAnswer("%v", err)
 	}
-	return Answer{Snapshot: snapshot, Range: rng, Payload: bytes.Clone(resp.Body())}, nil
+	return Answer{Snapshot: snapshot, Range: rng, Payload: resp.Body()}, nil
 }
 
 // parseRetryAfter returns the Retry-After header, in whole seconds, or 0 if it is
