--- a/internal/httpreply/httpreply.go
+++ b/internal/httpreply/httpreply.go
@@ -39,7 +39,7 @@
 )
 
 // CheckStatusLine returns ErrStatusLine if a reply that begins with some bytes has no valid
-// status line. Fewer than StatusLineBytes bytes are checked as far as they go.
+// status line. Fewer bytes than one has are checked as far as they go.
 func CheckStatusLine(b []byte) error {
 	b = b[:min(len(b), statusLineMin)]
 	for i, c := range b {
@@ -65,9 +65,6 @@
 	return nil
 }
 
-// StatusLineBytes is the number of bytes that CheckStatusLine looks at.
-const StatusLineBytes = statusLineMin
-
 // PeekHead checks the head of the next reply, which has to fit into the buffer of br. Its
 // status line is checked as it comes in.
 func PeekHead(br *bufio.Reader) error {
