Count what other VMs have run of a request that they hand back

A query that can be answered without a lost pool is served here when no other VM takes it. What other VMs had run of it before they handed it back was forgotten then: it was served with all attempts of its route, and a refusal could say that it had not run. That is older, but since other VMs hand back also what gets no connection there, so it shows. What is known of the request is now updated by each hand-back, also if it is served here next.

A request that is served here after all is not to be left again, so Leave is cleared; its answer would have been a hand-over that nobody carries out.

The new spec of internal/handover failed before: not-run where may-have-run is true.

--- a/internal/handover/degraded_test.go
+++ b/internal/handover/degraded_test.go
@@ -96,4 +96,31 @@
 		Expect(reply.GetAttemptsLeft()).To(BeEquivalentTo(1))
 		Expect(b.tier.requests()).To(BeEmpty())
 	})
+
+	// Guards against forgetting what another VM has run of a query before it gave it back:
+	// it then ran on more replicas of a shard than its route allows.
+	It("counts what other VMs have run of a query that they give back", func() {
+		a, b := startVM("a", nil), startVM("b", nil)
+		know(a, b)
+		b.tier.setServe(unconnected(verdict.MayHaveRun))
+		var here []int // attempts that may run here
+		a.tier.setServe(func(req *direct.Request) *direct.Answer {
+			here = append(here, req.MaxAttempts)
+			if req.MayHandOver {
+				return &direct.Answer{HandOver: &direct.HandOver{Unconnected: true, MaxAttempts: 2, Refusal: verdict.New(verdict.NotRun, verdict.ConnectFailed, "no connection")}}
+			}
+			return &direct.Answer{Refusal: verdict.New(verdict.NotRun, verdict.NoReplica, "none")}
+		})
+		a.degrade()
+		Expect(a.Serve(request("/")).Refusal.Outcome).To(Equal(verdict.MayHaveRun))
+		Expect(b.tier.requests()).To(HaveLen(1))
+		Expect(here).To(Equal([]int{0}), "it may have run twice elsewhere")
+
+		here = nil
+		a.tier.setCuts(reach.Cuts{Pools: map[string]bool{"p": true}})
+		time.Sleep(1500 * time.Millisecond) // the other VM is asked again
+		Expect(a.Serve(request("/")).Refusal.Outcome).To(Equal(verdict.MayHaveRun))
+		Expect(b.tier.requests()).To(HaveLen(2))
+		Expect(here).To(Equal([]int{1}), "without the lost pool, and only as often as is left")
+	})
 })
--- a/internal/handover/serve.go
+++ b/internal/handover/serve.go
@@ -20,8 +20,9 @@
 
 // Serve answers a caller's request.
 func (s *Service) Serve(req *direct.Request) *direct.Answer {
+	h := &direct.HandOver{MaxAttempts: req.MaxAttempts, Counted: req.Counted}
 	if cuts := s.cut.Load(); cuts != nil {
-		if a, ok := s.viaOther(req, cuts.Has, &direct.HandOver{Counted: req.Counted}); ok {
+		if a, ok := s.viaOther(req, cuts.Has, h); ok {
 			return a
 		}
 		req.MayHandOver = len(cuts.Degraded) > 0 && s.hasHelper(req, cuts)
@@ -29,12 +30,12 @@
 	if v := s.refuse(req); v != nil {
 		s.metrics.Add("refused", 1)
 		s.log.Info("handover").Str("id", req.ID).Str("verdict", v.Outcome.String()).Str("detail", v.Detail).Msg("request refused")
-		return &direct.Answer{Refusal: v}
+		return &direct.Answer{Refusal: verdict.Worse(v, h.Refusal)}
 	}
 	s.mu.Lock()
 	req.Leave = s.leave
 	s.mu.Unlock()
-	a := s.tier.Serve(req)
+	a := s.serveHere(req, h)
 	if a.HandOver == nil {
 		return a
 	}
@@ -59,8 +60,23 @@
 		return a
 	}
 	s.metrics.Add("returned", 1)
-	req.MayHandOver, req.MaxAttempts, req.Counted = false, h.MaxAttempts, h.Counted
-	return s.tier.Serve(req)
+	req.MayHandOver, req.Leave = false, nil
+	return s.serveHere(req, h)
+}
+
+// serveHere serves a request of which something may have run before, as far as that leaves
+// attempts. The verdict covers both.
+func (s *Service) serveHere(req *direct.Request, h *direct.HandOver) *direct.Answer {
+	req.MaxAttempts, req.Counted = h.MaxAttempts, h.Counted
+	a := s.tier.Serve(req)
+	switch {
+	case h.Refusal == nil:
+	case a.HandOver != nil:
+		a.HandOver.Refusal = verdict.Worse(a.HandOver.Refusal, h.Refusal)
+	case a.Refusal != nil:
+		return &direct.Answer{Refusal: verdict.Worse(a.Refusal, h.Refusal)}
+	}
+	return a
 }
 
 // hasHelper reports whether another VM says that it reaches more of the pools that a request
@@ -79,16 +95,16 @@
 // viaOther has another VM serve a request that can't be served whole here, for want of the
 // pools that are lost. ok is false if no other VM can do better, or none takes it and it can
 // be served in part here. h is what is known of the request: its refusal is the verdict on
-// what was sent before, or nil: it may have run, whatever the other VM says.
+// what was sent before, or nil: it may have run, whatever the other VM says. It is updated
+// when a VM hands the request back.
 func (s *Service) viaOther(req *direct.Request, lost func(pool string) bool, h *direct.HandOver) (a *direct.Answer, ok bool) {
 	need, known := s.tier.NeedOf(req)
 	if !known || need.Missing(lost) == 0 {
 		return nil, false
 	}
-	maxAttempts, counted, before := h.MaxAttempts, h.Counted, h.Refusal
 	var tried []string
 	for len(tried) < maxHelpers {
-		if v := s.refusal(req, &need, before); v != nil {
+		if v := s.refusal(req, &need, h.Refusal); v != nil {
 			return &direct.Answer{Refusal: v}, true
 		}
 		c, found := s.choose(&need, lost, tried)
@@ -96,15 +112,15 @@
 			break
 		}
 		tried = append(tried, c.Name)
-		a = s.handOver(req, c, &need, maxAttempts, counted)
+		a = s.handOver(req, c, &need, h.MaxAttempts, h.Counted)
 		if a.HandOver != nil {
-			counted, maxAttempts, before = a.HandOver.Counted, a.HandOver.MaxAttempts, verdict.Worse(before, a.HandOver.Refusal)
-			a = &direct.Answer{Refusal: before}
+			h.Counted, h.MaxAttempts, h.Refusal = a.HandOver.Counted, a.HandOver.MaxAttempts, verdict.Worse(h.Refusal, a.HandOver.Refusal)
+			a = &direct.Answer{Refusal: h.Refusal}
 			continue
 		}
 		again := s.tryAnother(req, a)
 		if a.Refusal != nil {
-			a = &direct.Answer{Refusal: verdict.Worse(a.Refusal, before)}
+			a = &direct.Answer{Refusal: verdict.Worse(a.Refusal, h.Refusal)}
 		}
 		if !again {
 			return a, true
