--- a/internal/upstreamclient/client_test.go
+++ b/internal/upstreamclient/client_test.go
@@ -126,6 +126,19 @@
 	})
 })
 
+// Guards against reading 410 as a proof that nothing ran, in an answer to an attempt that
+// named no snapshot.
+var _ = DescribeTable("an answer without a snapshot that was not requested", func(fields string, outcome verdict.Outcome) {
+	c := scriptedUpstream(respond(410, echo+fields, ""))
+	a := testAttempt()
+	a.Snapshot = 0
+	_, _, err := c.Do(testContext(), a)
+	Expect(verdict.Of(err).Outcome).To(Equal(outcome))
+},
+	Entry("proves nothing by its status", "", verdict.RanFailed),
+	Entry("proves that nothing ran by the header", "Sw-Not-Run: yes\r\n", verdict.NotRun),
+)
+
 var _ = DescribeTable("an answer that is not a valid result",
 	func(text string, outcome verdict.Outcome, cause verdict.Cause, usable bool) {
 		texts := []string{text, ""}
