Check the first reply on a connection to the usage service

A usage service in trouble that answered a report with a status of 000, with a blank in the name of a field or with both a length and chunks was taken to have accepted it. The report is then not sent again, and a team's usage may be missing.

Cause: UsageCaller writes on the connection itself and only reads through httpreply.Conn, which checked nothing before the first write through it. A Conn now takes its first bytes for the beginning of a reply, however the request was written.

Sound replies still count as accepted.

--- a/internal/httpreply/conn.go
+++ b/internal/httpreply/conn.go
@@ -11,8 +11,8 @@
 var errHeadTooLarge = errors.New("head of a reply is too large")
 
 // Conn is a client's connection whose replies are checked as they come in, for clients that
-// read replies themselves. It carries one call at a time: the first bytes that are read
-// after a write begin a reply.
+// read replies themselves. It carries one call at a time: the first bytes that are read, and
+// the first after each write, begin a reply.
 type Conn struct {
 	net.Conn
 	head     []byte // of the reply that is coming in
@@ -20,7 +20,7 @@
 }
 
 // NewConn returns the checked connection on nc.
-func NewConn(nc net.Conn) *Conn { return &Conn{Conn: nc} }
+func NewConn(nc net.Conn) *Conn { return &Conn{Conn: nc, awaiting: true} }
 
 // Write implements net.Conn.
 func (c *Conn) Write(p []byte) (int, error) {
