Refuse replies of HTTP/1.0 with a transfer coding

A replica that replied with HTTP/1.0, its id, its receipt and Transfer-Encoding: chunked got the body through with the chunk sizes in it: an order and a GET were answered 200 with "10\r\n0123456789abcdef\r\n0\r\n\r\n", and a query merged the sizes into its records (MIXED). A report to the usage service that was answered so counted as accepted.

Cause: the library reads no chunks of HTTP/1.0 and takes the body to end with the connection. httpreply.CheckHead knew the fields, but not the version of the line before them. HTTP/1.0 has no transfer codings, so that readers differ in what they take the body for; such a reply is no answer now and proves nothing about whether the request ran. Every reader reaches this through the one check.

HTTP/1.0 with a length or up to the end of the connection is still an answer.

--- a/internal/httpreply/fields.go
+++ b/internal/httpreply/fields.go
@@ -27,7 +27,7 @@
 			if hasControl(line) {
 				return fmt.Errorf("%w: %.40q", ErrStatusLine, line)
 			}
-			first = false
+			first, f.http10 = false, bytes.HasPrefix(line, http10)
 			continue
 		}
 		name, value, err := splitField(line)
@@ -87,12 +87,14 @@
 	return false
 }
 
-// framing is what the fields of a head say of where the body ends.
+// framing is what a head says of where the body ends.
 type framing struct {
+	http10          bool // which has no transfer codings, so that readers differ in whether they decode one
 	length, chunked bool
 }
 
 var (
+	http10           = []byte("HTTP/1.0")
 	contentLength    = []byte("Content-Length")
 	transferEncoding = []byte("Transfer-Encoding")
 	chunkedCoding    = []byte("chunked")
@@ -106,7 +108,7 @@
 		}
 		f.length = true
 	case bytes.EqualFold(name, transferEncoding):
-		if f.chunked || !bytes.EqualFold(value, chunkedCoding) {
+		if f.http10 || f.chunked || !bytes.EqualFold(value, chunkedCoding) {
 			return fmt.Errorf("%w: coding %.40q", ErrFraming, value)
 		}
 		f.chunked = true
--- a/internal/httpreply/httpreply.go
+++ b/internal/httpreply/httpreply.go
@@ -1,7 +1,8 @@
 // Package httpreply checks what a peer sent before it is parsed as an HTTP reply. The HTTP
 // library takes some bytes for a reply that are none: it reads a status of 000 as 200, and
 // accepts statuses above 599, any protocol version, names of fields with blanks, lines that
-// continue the one before, and replies with both a length and chunks, whose end is ambiguous.
+// continue the one before, and replies whose end is ambiguous: with both a length and chunks,
+// or with chunks in HTTP/1.0.
 //
 // Bytes that fail a check prove nothing about whether the request was executed.
 package httpreply
