Refuse replies that state two requests, attempts, receipts or eras

A reply that bore another request's id first and the right one last was passed on to the caller of the latter, with status 200; with the two swapped it was refused. Whose answer it is can't be told. sw-egress took the first of two. Of two different receipts both were passed on, and a query named the last. "Not run" with its opposite counted at sw-egress as a proof, and of two eras of the store the first was believed.

Cause: the library accepts any field more than once, and each reader took the first or the last value. httpreply.CheckHead now gets from each reader the names of the fields that have one value; two different ones make the reply none, which proves nothing. Equal values, and other fields that are repeated, are accepted as before.

--- a/internal/httpreply/conn.go
+++ b/internal/httpreply/conn.go
@@ -15,12 +15,15 @@
 // the first after each write, begin a reply.
 type Conn struct {
 	net.Conn
-	head     []byte // of the reply that is coming in
-	awaiting bool   // the head has not ended
+	single   []string // as in CheckHead
+	head     []byte   // of the reply that is coming in
+	awaiting bool     // the head has not ended
 }
 
-// NewConn returns the checked connection on nc.
-func NewConn(nc net.Conn) *Conn { return &Conn{Conn: nc, awaiting: true} }
+// NewConn returns the checked connection on nc. single is as in CheckHead.
+func NewConn(nc net.Conn, single ...string) *Conn {
+	return &Conn{Conn: nc, single: single, awaiting: true}
+}
 
 // Write implements net.Conn.
 func (c *Conn) Write(p []byte) (int, error) {
@@ -41,7 +44,7 @@
 	}
 	switch end := headEnd(c.head); {
 	case end > 0:
-		if bad := CheckHead(c.head[:end]); bad != nil {
+		if bad := CheckHead(c.head[:end], c.single...); bad != nil {
 			return 0, bad
 		}
 		c.head, c.awaiting = nil, false
--- a/internal/httpreply/fields.go
+++ b/internal/httpreply/fields.go
@@ -4,19 +4,24 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"strings"
 )
 
 // The errors of CheckHead and CheckField.
 var (
-	ErrField   = errors.New("malformed header field")
-	ErrFraming = errors.New("reply whose end is ambiguous")
+	ErrField    = errors.New("malformed header field")
+	ErrFraming  = errors.New("reply whose end is ambiguous")
+	ErrRepeated = errors.New("header field with two values")
 )
 
 // CheckHead checks the fields of a reply's head, and the text of its status line. A name
 // that isn't a token, such as one with a blank at its end, is an error, since readers differ
-// in what they take it for, and so is a line that continues the one before.
-func CheckHead(head []byte) error {
+// in what they take it for, and so is a line that continues the one before. single are names
+// of fields that have one value: another one is an error, since readers differ in which of
+// them they take.
+func CheckHead(head []byte, single ...string) error {
 	var f framing
+	values := make([][]byte, len(single))
 	first := true
 	for line := range bytes.Lines(head) {
 		line = trimLineEnd(line)
@@ -34,6 +39,9 @@
 		if err == nil {
 			err = f.observe(name, value)
 		}
+		if err == nil {
+			err = observeSingle(single, values, name, value)
+		}
 		if err != nil {
 			return err
 		}
@@ -41,6 +49,20 @@
 	return f.check()
 }
 
+// observeSingle records the value of a field that has one of the names in single.
+func observeSingle(single []string, values [][]byte, name, value []byte) error {
+	for i, s := range single {
+		switch {
+		case len(name) != len(s) || !strings.EqualFold(string(name), s):
+		case values[i] == nil:
+			values[i] = value
+		case !bytes.Equal(values[i], value):
+			return fmt.Errorf("%w: %s: %.40q, %.40q", ErrRepeated, s, values[i], value)
+		}
+	}
+	return nil
+}
+
 // CheckField checks one line of a head or a trailer, with or without its line end.
 func CheckField(line []byte) error {
 	_, _, err := splitField(trimLineEnd(line))
@@ -51,13 +73,16 @@
 	return bytes.TrimSuffix(bytes.TrimSuffix(line, []byte{'\n'}), []byte{'\r'})
 }
 
-// splitField returns the name and the value of a field.
+// splitField returns the name of a field and its value, which isn't nil.
 func splitField(line []byte) (name, value []byte, err error) {
 	name, value, found := bytes.Cut(line, []byte{':'})
 	if !found || !isToken(name) || hasControl(value) {
 		return nil, nil, fmt.Errorf("%w: %.40q", ErrField, line)
 	}
-	return name, bytes.Trim(value, " \t"), nil
+	if value = bytes.Trim(value, " \t"); value == nil { // only blanks
+		value = []byte{}
+	}
+	return name, value, nil
 }
 
 // tokenChars are the characters of a token of HTTP.
--- a/internal/httpreply/httpreply.go
+++ b/internal/httpreply/httpreply.go
@@ -26,7 +26,12 @@
 
 // IsMalformed reports whether an error of this package says that bytes are no HTTP reply.
 func IsMalformed(err error) bool {
-	return errors.Is(err, ErrStatusLine) || errors.Is(err, ErrField) || errors.Is(err, ErrFraming)
+	for _, malformed := range []error{ErrStatusLine, ErrField, ErrFraming, ErrRepeated} {
+		if errors.Is(err, malformed) {
+			return true
+		}
+	}
+	return false
 }
 
 // ValidStatus reports whether a status is that of a final reply.
@@ -67,8 +72,8 @@
 }
 
 // PeekHead checks the head of the next reply, which has to fit into the buffer of br. Its
-// status line is checked as it comes in.
-func PeekHead(br *bufio.Reader) error {
+// status line is checked as it comes in. single is as in CheckHead.
+func PeekHead(br *bufio.Reader, single ...string) error {
 	for n := 1; ; n = br.Buffered() + 1 {
 		_, err := br.Peek(n)
 		switch {
@@ -82,7 +87,7 @@
 			return err
 		}
 		if end := headEnd(head); end > 0 {
-			return CheckHead(head[:end])
+			return CheckHead(head[:end], single...)
 		}
 	}
 }
--- a/internal/platform/transport.go
+++ b/internal/platform/transport.go
@@ -44,8 +44,9 @@
 // NewTransport returns the transport to an address, IP:port. A call fails if
 // there is no reply within timeout. decodeError returns the error that a reply
 // with a status other than 200 stands for, or nil if it stands for none; each
-// such error means that a write was not applied.
-func NewTransport(addr string, timeout time.Duration, decodeError func(status int, body []byte) error) *Transport {
+// such error means that a write was not applied. single are the header fields of a reply that
+// have one value.
+func NewTransport(addr string, timeout time.Duration, decodeError func(status int, body []byte) error, single ...string) *Transport {
 	dialer := &net.Dialer{Timeout: timeout, KeepAliveConfig: keepAlive}
 	t := &Transport{timeout: timeout, decodeError: decodeError}
 	t.host = &fasthttp.HostClient{
@@ -55,7 +56,7 @@
 			if err != nil {
 				return nil, &dialError{err}
 			}
-			return httpreply.NewConn(&heardConn{Conn: c, heard: &t.heard}), t.limitBuffer(c)
+			return httpreply.NewConn(&heardConn{Conn: c, heard: &t.heard}, single...), t.limitBuffer(c)
 		},
 		MaxConns:                  maxConns,
 		MaxIdleConnDuration:       idleTimeout,
--- a/internal/upstreamclient/conn.go
+++ b/internal/upstreamclient/conn.go
@@ -13,6 +13,7 @@
 
 	"github.com/sapphirewall/sapphirewall/internal/httpreply"
 	"github.com/sapphirewall/sapphirewall/internal/replybody"
+	"github.com/sapphirewall/sapphirewall/internal/upstream"
 )
 
 // Buffer sizes of a connection. The read buffer also limits the headers of an
@@ -25,6 +26,12 @@
 // DefaultMaxAnswerBytes is the default limit on the body of an answer.
 const DefaultMaxAnswerBytes = 4 << 20
 
+// singleFields are the fields that say which attempt an answer is to, what it covers, and
+// whether the attempt was executed.
+var singleFields = []string{
+	upstream.HeaderRequestID, upstream.HeaderAttempt, upstream.HeaderSnapshot, upstream.HeaderRange, upstream.HeaderNotRun,
+}
+
 // ErrUnusable is returned for a call on a connection that has failed.
 var ErrUnusable = errors.New("upstreamclient: connection can't be used any more")
 
@@ -158,7 +165,7 @@
 // readResponse reads one answer. An answer without Content-Length ends when the
 // connection is closed, so that truncation could not be detected: it is an error.
 func (c *Conn) readResponse(resp *fasthttp.Response) error {
-	switch err := httpreply.PeekHead(c.br); {
+	switch err := httpreply.PeekHead(c.br, singleFields...); {
 	case httpreply.IsMalformed(err):
 		return badAnswer("%v", err)
 	case errors.Is(err, bufio.ErrBufferFull):
