Check the fields of replies that another VM passes on

A VM that is cut off from replicas hands requests over.

What fails may have run: an order is answered 502 and handed to no other VM.

The test of the status is unchanged.

--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -193,6 +193,20 @@
 		Expect(a.Serve(request("/x")).Refusal).To(Equal(want))
 	})
 
+	It("takes a reply that another VM passes on with a malformed header for none, and asks no other", func() {
+		a, b, c := startVM("a", nil), startVM("b", nil), startVM("c", nil)
+		know(a, b, c)
+		malformed := &direct.Answer{Reply: &connpool.Reply{Status: 200, Header: []connpool.Header{{Name: "Content Length", Value: "4"}}, Body: []byte("4\r\nbody")}}
+		for _, m := range []*machine{b, c} {
+			m.tier.setServe(func(*direct.Request) *direct.Answer { return malformed })
+		}
+		a.loseAll()
+		ans := a.Serve(request("/x"))
+		Expect(ans.Reply).To(BeNil())
+		Expect(ans.Refusal.Outcome).To(Equal(verdict.MayHaveRun))
+		Expect(len(b.tier.requests()) + len(c.tier.requests())).To(Equal(1))
+	})
+
 	It("asks another VM when one can't take the request", func() {
 		a, b, c := startVM("a", nil), startVM("b", nil), startVM("c", nil)
 		know(a, b, c)
--- a/internal/handover/serve.go
+++ b/internal/handover/serve.go
@@ -225,7 +225,7 @@
 	if err != nil {
 		a = &direct.Answer{Refusal: verdict.Of(err).WithRetryAfter(helpers.AskInterval)}
 	} else {
-		a = answerFromProto(env.GetHandoverReply())
+		a = answerFromProto(env.GetHandoverReply(), s.cfg.SingleFields...)
 		req.Account.Force(bodyBytes(a))
 	}
 	s.mu.Lock()
--- a/internal/handover/service.go
+++ b/internal/handover/service.go
@@ -64,7 +64,9 @@
 	// Split takes the fields that name an API key and a team out of the header of a request
 	// of another VM, and reads its credential; nil: there are no such fields.
 	Split func(*direct.Request)
-	Wrap  func(net.Conn) net.Conn // of connections to other VMs; nil: none
+	// SingleFields are the header fields of a replica's reply that have one value.
+	SingleFields []string
+	Wrap         func(net.Conn) net.Conn // of connections to other VMs; nil: none
 	// Budget has the bytes that requests of other VMs draw too; nil: no limit.
 	Budget *membudget.Budget
 	Log    zerolog.Logger
--- a/internal/handover/wire.go
+++ b/internal/handover/wire.go
@@ -1,6 +1,7 @@
 package handover
 
 import (
+	"iter"
 	"time"
 
 	"github.com/sapphirewall/sapphirewall/internal/connpool"
@@ -61,6 +62,16 @@
 	return out
 }
 
+func namesAndValues(header []*swpb.HeaderField) iter.Seq2[string, string] {
+	return func(yield func(name, value string) bool) {
+		for _, h := range header {
+			if !yield(h.GetName(), h.GetValue()) {
+				return
+			}
+		}
+	}
+}
+
 func replyToProto(a *direct.Answer) *swpb.HandoverReply {
 	switch {
 	case a.HandOver != nil:
@@ -75,18 +86,23 @@
 	return &swpb.HandoverReply{Reply: &swpb.ReplicaReply{Status: uint32(r.Status), Header: toFields(r.Header), Body: r.Body, NotRun: r.NotRun}}
 }
 
-// answerOfReply returns the answer with a replica's reply that another VM passes on.
-func answerOfReply(p *swpb.ReplicaReply) *direct.Answer {
+// answerOfReply returns the answer with a replica's reply that another VM passes on. A VM of
+// an earlier build may have read it less strictly.
+func answerOfReply(p *swpb.ReplicaReply, singleFields []string) *direct.Answer {
+	if err := httpreply.CheckDecoded(int(p.GetStatus()), namesAndValues(p.GetHeader()), singleFields...); err != nil {
+		return &direct.Answer{Refusal: verdict.Newf(verdict.MayHaveRun, verdict.BadAnswer, "broken answer: %v", err)}
+	}
 	r := &connpool.Reply{Status: int(p.GetStatus()), Header: fromFields(p.GetHeader()), Body: p.GetBody(), NotRun: p.GetNotRun()}
-	if !r.MayBePassedOn() { // a VM of an earlier build passes it on
+	if !r.MayBePassedOn() {
 		return &direct.Answer{Refusal: verdict.Newf(verdict.RanFailed, verdict.UpstreamError, "status %d of a replica", r.Status)}
 	}
 	return &direct.Answer{Reply: r}
 }
 
 // answerFromProto returns the answer of another VM. A reply without any, as of a build
-// that doesn't know the call, says that the request did not run there.
-func answerFromProto(r *swpb.HandoverReply) *direct.Answer {
+// that doesn't know the call, says that the request did not run there. singleFields are the
+// header fields of a reply that have one value.
+func answerFromProto(r *swpb.HandoverReply, singleFields ...string) *direct.Answer {
 	switch {
 	case r.GetRefusal() != nil && r.GetAttemptsLeft() > 0:
 		return &direct.Answer{HandOver: &direct.HandOver{MaxAttempts: int(r.GetAttemptsLeft()), Counted: r.GetCounted(), Refusal: verdict.FromProto(r.GetRefusal())}}
@@ -95,10 +111,8 @@
 	case r.GetGathered() != nil:
 		g := r.GetGathered()
 		return &direct.Answer{Gathered: &direct.Gathered{Receipts: g.GetReceipts(), Missing: int(g.GetMissing()), Body: g.GetBody()}}
-	case r.GetReply() != nil && !httpreply.ValidStatus(int(r.GetReply().GetStatus())):
-		return &direct.Answer{Refusal: verdict.Newf(verdict.MayHaveRun, verdict.BadAnswer, "status %d in place of an answer", r.GetReply().GetStatus())}
 	case r.GetReply() != nil:
-		return answerOfReply(r.GetReply())
+		return answerOfReply(r.GetReply(), singleFields)
 	}
 	return &direct.Answer{Refusal: verdict.New(verdict.NotRun, verdict.PeerLost, "the VM takes no requests of others")}
 }
--- a/internal/httpreply/fields.go
+++ b/internal/httpreply/fields.go
@@ -4,10 +4,11 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"iter"
 	"strings"
 )
 
-// The errors of CheckHead and CheckField.
+// The errors of fields.
 var (
 	ErrField    = errors.New("malformed header field")
 	ErrFraming  = errors.New("reply whose end is ambiguous")
@@ -20,69 +21,93 @@
 // of fields that have one value: another one is an error, since readers differ in which of
 // them they take.
 func CheckHead(head []byte, single ...string) error {
-	var f framing
-	values := make([][]byte, len(single))
+	c := newFieldChecker(single)
 	first := true
 	for line := range bytes.Lines(head) {
 		line = trimLineEnd(line)
 		switch {
 		case len(line) == 0:
-			return f.check()
+			return c.framing.check()
 		case first:
 			if hasControl(line) {
 				return fmt.Errorf("%w: %.40q", ErrStatusLine, line)
 			}
-			first, f.http10 = false, bytes.HasPrefix(line, http10)
+			first, c.framing.http10 = false, bytes.HasPrefix(line, http10)
 			continue
 		}
-		name, value, err := splitField(line)
-		if err == nil {
-			err = f.observe(name, value)
-		}
-		if err == nil {
-			err = observeSingle(single, values, name, value)
-		}
-		if err != nil {
+		if err := c.observeLine(line); err != nil {
 			return err
 		}
 	}
-	return f.check()
+	return c.framing.check()
 }
 
-// observeSingle records the value of a field that has one of the names in single.
-func observeSingle(single []string, values [][]byte, name, value []byte) error {
-	for i, s := range single {
-		switch {
-		case len(name) != len(s) || !strings.EqualFold(string(name), s):
-		case values[i] == nil:
-			values[i] = value
-		case !bytes.Equal(values[i], value):
-			return fmt.Errorf("%w: %s: %.40q, %.40q", ErrRepeated, s, values[i], value)
+// CheckDecoded checks a reply that another process has read, perhaps less strictly: its
+// status, and the names and values of its fields. single is as in CheckHead.
+func CheckDecoded(status int, fields iter.Seq2[string, string], single ...string) error {
+	if status < MinStatus || status > MaxStatus {
+		return fmt.Errorf("%w: %d", ErrStatusLine, status)
+	}
+	c := newFieldChecker(single)
+	for name, value := range fields {
+		if err := c.observe([]byte(name), []byte(value)); err != nil {
+			return err
 		}
 	}
-	return nil
+	return c.framing.check()
 }
 
 // CheckField checks one line of a head or a trailer, with or without its line end.
 func CheckField(line []byte) error {
-	_, _, err := splitField(trimLineEnd(line))
-	return err
+	return newFieldChecker(nil).observeLine(trimLineEnd(line))
 }
 
 func trimLineEnd(line []byte) []byte {
 	return bytes.TrimSuffix(bytes.TrimSuffix(line, []byte{'\n'}), []byte{'\r'})
 }
 
-// splitField returns the name of a field and its value, which isn't nil.
-func splitField(line []byte) (name, value []byte, err error) {
+// fieldChecker checks the fields of one reply.
+type fieldChecker struct {
+	framing framing
+	single  []string // as in CheckHead
+	values  [][]byte // of the fields in single; nil: none so far
+}
+
+func newFieldChecker(single []string) *fieldChecker {
+	return &fieldChecker{single: single, values: make([][]byte, len(single))}
+}
+
+// observeLine checks a line without its end.
+func (c *fieldChecker) observeLine(line []byte) error {
 	name, value, found := bytes.Cut(line, []byte{':'})
-	if !found || !isToken(name) || hasControl(value) {
-		return nil, nil, fmt.Errorf("%w: %.40q", ErrField, line)
+	if !found {
+		return fmt.Errorf("%w: %.40q", ErrField, line)
 	}
-	if value = bytes.Trim(value, " \t"); value == nil { // only blanks
-		value = []byte{}
+	return c.observe(name, value)
+}
+
+func (c *fieldChecker) observe(name, value []byte) error {
+	if !isToken(name) || hasControl(value) {
+		return fmt.Errorf("%w: %.40q: %.40q", ErrField, name, value)
+	}
+	value = bytes.Trim(value, " \t")
+	if err := c.framing.observe(name, value); err != nil {
+		return err
 	}
-	return name, value, nil
+	return c.observeSingle(name, value)
+}
+
+func (c *fieldChecker) observeSingle(name, value []byte) error {
+	for i, single := range c.single {
+		switch {
+		case len(name) != len(single) || !strings.EqualFold(string(name), single):
+		case c.values[i] == nil:
+			c.values[i] = append([]byte{}, value...) // not nil, also if it is empty
+		case !bytes.Equal(c.values[i], value):
+			return fmt.Errorf("%w: %s: %.40q, %.40q", ErrRepeated, name, c.values[i], value)
+		}
+	}
+	return nil
 }
 
 // tokenChars are the characters of a token of HTTP.
--- a/internal/httpreply/httpreply.go
+++ b/internal/httpreply/httpreply.go
@@ -21,7 +21,7 @@
 	MaxStatus = 599
 )
 
-// ErrStatusLine is the error of CheckStatusLine.
+// ErrStatusLine is the error of a status line or a status.
 var ErrStatusLine = errors.New("no status line of HTTP/1.0 or HTTP/1.1 with a status from 200 to 599")
 
 // IsMalformed reports whether an error of this package says that bytes are no HTTP reply.
@@ -34,9 +34,6 @@
 	return false
 }
 
-// ValidStatus reports whether a status is that of a final reply.
-func ValidStatus(status int) bool { return MinStatus <= status && status <= MaxStatus }
-
 // The fixed positions in a status line, such as "HTTP/1.1 200 OK".
 const (
 	versionEnd    = len("HTTP/1.1")
