Check answers at sw-load as a strict client does

sw-load counted an answer with a status of 000 as 200, and took a blank in the name of a field, chunks in HTTP/1.0 or two request IDs for an answer. Bytes that the library refuses by itself counted as a connection that failed, which breaks no promise.

Cause: it read answers by the library alone. Its connections are httpreply.Conns now, and bytes that are no answer break the promise of a whole answer.

A sound answer, and a connection that is closed without one, still break no promise.

--- a/internal/httpreply/conn.go
+++ b/internal/httpreply/conn.go
@@ -40,16 +40,27 @@
 	}
 	c.head = append(c.head, p[:n]...)
 	if bad := CheckStatusLine(c.head); bad != nil {
-		return 0, bad
+		return c.fail(p, n, bad)
 	}
 	switch end := headEnd(c.head); {
 	case end > 0:
 		if bad := CheckHead(c.head[:end], c.single...); bad != nil {
-			return 0, bad
+			return c.fail(p, n, bad)
 		}
 		c.head, c.awaiting = nil, false
 	case len(c.head) > maxHeadBytes:
-		return 0, errHeadTooLarge
+		return c.fail(p, n, errHeadTooLarge)
 	}
 	return n, err
 }
+
+// fail returns the result of a Read of n bytes into p that fails with err. The HTTP library
+// takes an error without any byte of a reply for the end of the connection, so that it gets
+// the first byte that a reply has.
+func (c *Conn) fail(p []byte, n int, err error) (int, error) {
+	if len(c.head) > n {
+		return 0, err
+	}
+	p[0] = protocol[0]
+	return 1, err
+}
--- a/internal/httpreply/httpreply.go
+++ b/internal/httpreply/httpreply.go
@@ -34,6 +34,9 @@
 	return false
 }
 
+// protocol is what a reply begins with.
+const protocol = "HTTP/1."
+
 // The fixed positions in a status line, such as "HTTP/1.1 200 OK".
 const (
 	versionEnd    = len("HTTP/1.1")
@@ -49,7 +52,7 @@
 		var ok bool
 		switch {
 		case i < versionEnd-1:
-			ok = c == "HTTP/1."[i]
+			ok = c == protocol[i]
 		case i < versionEnd:
 			ok = c == '0' || c == '1'
 		case i == versionEnd:
--- a/internal/load/check.go
+++ b/internal/load/check.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 
+	"github.com/sapphirewall/sapphirewall/internal/httpreply"
 	standin "github.com/sapphirewall/sapphirewall/internal/standin/upstream"
 	"github.com/sapphirewall/sapphirewall/internal/tables"
 	"github.com/sapphirewall/sapphirewall/internal/upstream"
@@ -113,6 +114,9 @@
 	case r.Hung():
 		j.Kind = NoAnswer
 		j.fail(NoHang, "no answer from %s by %v past the deadline", r.Target, hangMargin)
+	case httpreply.IsMalformed(r.Err):
+		j.Kind = NoAnswer
+		j.fail(CompleteAnswer, "bytes from %s that are no answer: %v", r.Target, r.Err)
 	case r.Err != nil:
 		j.Kind = NoAnswer
 	case r.Status == 200:
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -172,6 +172,63 @@
 	})
 })
 
+// runAgainst sends one request to a server that answers each with a text.
+func runAgainst(text string) CheckedResult {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(ln.Close)
+	go func() {
+		for {
+			nc, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			if _, err := nc.Read(make([]byte, 4096)); err == nil {
+				_, _ = nc.Write([]byte(text))
+			}
+			_ = nc.Close()
+		}
+	}()
+	r := &Runner{Routes: testRoutes, Deadline: 10 * time.Second}
+	r.SetTargets([]string{ln.Addr().String()})
+	return checkOne(r.Run(GinkgoT().Context(), []Request{{Payload: []byte("x")}})[0])
+}
+
+// The load client must not take for an answer what a strict client refuses.
+var _ = Describe("bytes that are no answer", func() {
+	body := string(completeAnswer().Body)
+	reply := func(head string) string {
+		return fmt.Sprintf("%s\r\nSw-Request-Id: r1\r\nSw-Snapshot: 7\r\nSw-Coverage: 2/2\r\nContent-Length: %d\r\n\r\n%s", head, len(body), body)
+	}
+
+	DescribeTable("break the promise of an answer", func(text string) {
+		r := runAgainst(text)
+		Expect(r.Status).To(BeZero())
+		Expect(r.Kind).To(Equal(NoAnswer))
+		Expect(r.Violations).To(ConsistOf(HaveField("Promise", CompleteAnswer)))
+	},
+		Entry("status 000", reply("HTTP/1.1 000 X")),
+		Entry("status 600", reply("HTTP/1.1 600 X")),
+		Entry("a blank in the name of a field", reply("HTTP/1.1 200 OK\r\nX Foo: 1")),
+		Entry("a blank at the end of a name", reply("HTTP/1.1 200 OK\r\nX-Foo : 1")),
+		Entry("a folded line", reply("HTTP/1.1 200 OK\r\n folded")),
+		Entry("a length and chunks", reply("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked")),
+		Entry("chunks of HTTP/1.0", fmt.Sprintf("HTTP/1.0 200 OK\r\nSw-Request-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(body), body)),
+		Entry("two request IDs", reply("HTTP/1.1 200 OK\r\nSw-Request-Id: r2")),
+		Entry("another protocol", "what?\r\n\r\n"),
+		Entry("an empty line", "\r\n\r\n"),
+	)
+
+	It("don't include a sound answer, or a connection that is closed without one", func() {
+		r := runAgainst(reply("HTTP/1.1 200 OK\r\nX-Foo: 1"))
+		Expect(r.Violations).To(BeEmpty())
+		Expect(r.Kind).To(Equal(Complete))
+		r = runAgainst("")
+		Expect(r.Violations).To(BeEmpty())
+		Expect(r.Kind).To(Equal(NoAnswer))
+	})
+})
+
 var _ = Describe("a run", func() {
 	It("measures latency from the due time, even if the client sends late", func() {
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/sapphirewall/sapphirewall/internal/httpreply"
 )
 
 // The headers of the callers' interface that the load client sets or reads.
@@ -22,6 +24,9 @@
 	headerMissing   = "Sw-Missing"
 )
 
+// singleFields are the headers of an answer that have one value.
+var singleFields = []string{headerRequestID, headerSnapshot, headerCoverage}
+
 // hangMargin is how long after its deadline a request without an answer counts
 // as hung.
 const hangMargin = 250 * time.Millisecond
@@ -50,8 +55,8 @@
 // Runner sends the requests of a plan.
 type Runner struct {
 	Routes   []Route
-	Deadline time.Duration // for routes without one
-	Dial     fasthttp.DialFunc
+	Deadline time.Duration     // for routes without one
+	Dial     fasthttp.DialFunc // nil: fasthttp.Dial
 
 	mu      sync.RWMutex // guards targets
 	targets []*fasthttp.HostClient
@@ -78,12 +83,25 @@
 
 func (r *Runner) client(addr string) *fasthttp.HostClient {
 	return &fasthttp.HostClient{
-		Addr: addr, MaxConns: maxConnections, Dial: r.Dial,
+		Addr: addr, MaxConns: maxConnections, Dial: r.dial,
 		MaxIdemponentCallAttempts: 1, NoDefaultUserAgentHeader: true,
 		RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 	}
 }
 
+// dial opens a connection whose answers are checked as a strict client does.
+func (r *Runner) dial(addr string) (net.Conn, error) {
+	dial := r.Dial
+	if dial == nil {
+		dial = fasthttp.Dial
+	}
+	nc, err := dial(addr)
+	if err != nil {
+		return nil, err
+	}
+	return httpreply.NewConn(nc, singleFields...), nil
+}
+
 // Done returns the number of requests that have ended.
 func (r *Runner) Done() int { return int(r.done.Load()) }
 
