Crowds: don't count the queue of a connection that is being opened

Cause: /proc/net/tcp reports the send queue as the difference of two sequence numbers, of which one is set before the other while a connection is being opened. A sample in between reads any number. Nothing can be queued in that state, as nothing is written before a connection is open, so that the check is as strict as before.

The new test of test/crowd fails without the change.

--- a/test/crowd/usage.go
+++ b/test/crowd/usage.go
@@ -47,6 +47,12 @@
 	return func() Usage { close(ended); <-done; return most }
 }
 
+// States of sockets in /proc/net/tcp.
+const (
+	stateSynSent = "02"
+	stateListen  = "0A"
+)
+
 // socket is a line of /proc/net/tcp.
 type socket struct {
 	port, inode string
@@ -60,16 +66,23 @@
 	if err != nil {
 		return nil
 	}
+	return parseSockets(string(text))
+}
+
+// parseSockets returns the sockets in a text of /proc/net/tcp.
+func parseSockets(text string) []socket {
 	var out []socket
-	for line := range strings.Lines(string(text)) {
+	for line := range strings.Lines(text) {
 		f := strings.Fields(line)
 		if len(f) < 10 || f[0] == "sl" {
 			continue
 		}
 		_, port, _ := strings.Cut(f[1], ":")
 		tx, rx, _ := strings.Cut(f[4], ":")
-		s := socket{port: port, inode: f[9], listening: f[3] == "0A"}
-		if !s.listening {
+		s := socket{port: port, inode: f[9], listening: f[3] == stateListen}
+		// The queue of a connection that is being opened is empty, but reads as any number
+		// until the kernel has set both of its ends.
+		if !s.listening && f[3] != stateSynSent {
 			s.queued = parseHex(tx) + parseHex(rx)
 		}
 		out = append(out, s)
