callerhttp's spec of one client's bytes: open its connections before the body goes on

Cause: goroutines of the spec opened the 20 connections, and one that came late did so, and registered their cleanup, when the spec had ended.

--- a/internal/callerhttp/budget_test.go
+++ b/internal/callerhttp/budget_test.go
@@ -136,10 +136,8 @@
 	It("leaves others room for small and for large requests", func() {
 		s, b := serveWithin(32<<20, 0, func(x *callerhttp.Exchange) {})
 		for range 20 {
-			go func() {
-				defer GinkgoRecover()
-				_, _ = io.WriteString(dialFrom(s, "127.0.0.2"), largeBody(large-10))
-			}()
+			c := dialFrom(s, "127.0.0.2")
+			go func() { _, _ = io.WriteString(c, largeBody(large-10)) }()
 		}
 		Eventually(b.Used, "3s").Should(BeNumerically(">", 3<<20))
 		for _, text := range []string{largeBody(large), "GET /x HTTP/1.1\r\nHost: h\r\n\r\n"} {
