--- a/internal/upstreamclient/client_test.go
+++ b/internal/upstreamclient/client_test.go
@@ -190,3 +190,16 @@
 	Entry("with a folded line", respond(200, echo+" folded\r\nSw-Snapshot: 7\r\nSw-Range: 0-9\r\n", "x"), verdict.MayHaveRun, verdict.BadAnswer, false),
 	Entry("not HTTP", "what?\r\n\r\n", verdict.MayHaveRun, verdict.BadAnswer, false),
 )
+
+var _ = DescribeTable("a status check and a cancellation whose answer is no answer", func(text string) {
+	_, err := scriptedUpstream(text).Status(testContext())
+	Expect(verdict.Of(err)).To(HaveField("Cause", verdict.BadAnswer))
+	err = scriptedUpstream(text).Cancel(testContext(), "r1", 2)
+	Expect(verdict.Of(err)).To(HaveField("Cause", verdict.BadAnswer))
+},
+	Entry("status 000", "HTTP/1.1 000 X\r\nContent-Length: 2\r\n\r\n{}"),
+	Entry("a blank in the name of a field", respond(200, "X Foo: 1\r\n", "{}")),
+	Entry("a control byte in the name of a field", respond(200, "X\x01Foo: 1\r\n", "{}")),
+	Entry("chunks of HTTP/1.0", "HTTP/1.0 200 X\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n"),
+	Entry("two request IDs", respond(200, "Sw-Request-Id: r1\r\nSw-Request-Id: r9\r\n", "{}")),
+)
