Complete no version whose answers exceed the tolerances

Callers would have been left with a version that answers 48% of its requests 5 times slower, after the old replicas were given up.

Cause: a version was completed unless the evidence against it reached 5 nats, and for slowness did so without the slowest second too. In a short order nearly all answers under load come within that second, and a sample of 140 with 17 times as many slow answers can stay below 5 nats.

Change: commit and completion also require that the counts of the last 32 s over all routes exceed the tolerances by no more than random variation, as the stages of the three-process form do. While they don't, answers come in at the full rate, and the version is rolled back or completed later.

--- a/internal/decide/rollout/compare.go
+++ b/internal/decide/rollout/compare.go
@@ -240,17 +240,23 @@
 	return all
 }
 
-// withinTolerance reports whether the new version's event counts exceed the
-// tolerances by no more than random variation: two standard deviations and one
-// event.
+// withinTolerance reports whether no event count of the new version exceeds its
+// tolerance.
 func (ts tolerances) withinTolerance(groups []Sums, old *Sums) bool {
+	return ts.exceeded(groups, old) == NoRegression
+}
+
+// exceeded returns the first regression in which the new version's event counts
+// exceed the tolerances by more than random variation: two standard deviations and
+// one event.
+func (ts tolerances) exceeded(groups []Sums, old *Sums) Regression {
 	for _, t := range ts.criteria(old) {
 		rest := sumWithoutOutliers(groups, t)
 		allowed := t.maxRate * float64(rest.Requests)
 		over := float64(t.events(&rest)) > allowed+2*math.Sqrt(allowed)+1
 		if over && (t.regression != Slow || ts.meanRegressed(&rest, old)) {
-			return false
+			return t.regression
 		}
 	}
-	return true
+	return NoRegression
 }
--- a/internal/decide/rollout/fleetjudge.go
+++ b/internal/decide/rollout/fleetjudge.go
@@ -1,6 +1,9 @@
 package rollout
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 // The times and margins of a fleet judge.
 const (
@@ -303,5 +306,8 @@
 	if found := j.findIn(now, isSuspicion); found != "" {
 		return "suspected: " + found
 	}
+	if found := j.overTolerance(now); found != NoRegression {
+		return fmt.Sprintf("%s above what is tolerated", found)
+	}
 	return j.recentTrouble(now)
 }
--- a/internal/decide/rollout/fleetsums.go
+++ b/internal/decide/rollout/fleetsums.go
@@ -127,6 +127,22 @@
 	return ""
 }
 
+// overTolerance returns the regression in which the new version's answers of all routes
+// exceed the tolerances in the longest window, or NoRegression. It leaves no moment out:
+// the answers under load may all be of one.
+func (j *FleetJudge) overTolerance(now time.Time) Regression {
+	slot := slotAt(now)
+	var all, allTotal pair
+	for _, r := range j.routes {
+		r.advance(slot)
+		p := r.sums(slot, ringSlots, span{})
+		total := pair{groups: p.groups, old: r.old.total}
+		all.merge(&p)
+		allTotal.merge(&total)
+	}
+	return inBoth(&all, &allTotal, exceedsTolerance)
+}
+
 // momentSlots is the duration of a moment, in slots.
 const momentSlots = 2
 
@@ -238,6 +254,9 @@
 	return NoRegression
 }
 
+// exceedsTolerance requires only that chance alone is unlikely.
+func exceedsTolerance(p *pair) Regression { return fleetwide.exceeded(p.groups[:], &p.old) }
+
 // suspicionEvidence is the evidence, in nats, from which a version is not given more
 // requests.
 const suspicionEvidence = 5.0
