Judge tolerances by all of the old version's answers when few are recent

overTolerance compared the new version with the old one's answers of the last 32 s alone. In a commit that is held longer than that the old version has none, latencies are then not compared, and a slow version was completed. Found by reading; the new entry of TestCompletionWithinTolerance failed before.

--- a/internal/decide/rollout/fleetjudge_test.go
+++ b/internal/decide/rollout/fleetjudge_test.go
@@ -20,14 +20,17 @@
 // Guards against the completion of a slow version whose answers under load all came within a
 // second, and had less evidence against it than a suspicion needs.
 func TestCompletionWithinTolerance(t *testing.T) {
+	const soon = 16500 * time.Millisecond
 	for _, c := range []struct {
 		name           string
-		trial, present answers // of the new version, since the order
+		trial, present answers       // of the new version, since the order
+		last           time.Duration // age of the order at the last report
 		want           rollout.Phase
 	}{
-		{name: "as slow as the old version", trial: answers{58, 0}, present: answers{142, 1}, want: rollout.Completed},
-		{name: "few slow answers", trial: answers{57, 1}, present: answers{139, 4}, want: rollout.Completed},
-		{name: "17 times as many slow answers", trial: answers{53, 5}, present: answers{132, 11}, want: rollout.NoPhase},
+		{name: "as slow as the old version", trial: answers{58, 0}, present: answers{142, 1}, last: soon, want: rollout.Completed},
+		{name: "few slow answers", trial: answers{57, 1}, present: answers{139, 4}, last: soon, want: rollout.Completed},
+		{name: "17 times as many slow answers", trial: answers{53, 5}, present: answers{132, 11}, last: soon, want: rollout.NoPhase},
+		{name: "slow long after the old version's last answers", trial: answers{58, 0}, present: answers{136, 7}, last: 50 * time.Second, want: rollout.NoPhase},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			begin := time.Unix(1000, 0)
@@ -47,7 +50,7 @@
 			}
 			report(8*time.Second, rollout.Trial, c.trial)
 			j.Recorded(begin.Add(16*time.Second), rollout.Commit, "")
-			report(16500*time.Millisecond, rollout.Commit, c.present)
+			report(c.last, rollout.Commit, c.present)
 			if got := j.Wanted(); got != c.want {
 				t.Errorf("phase wanted: %v, want %v (held: %q)", got, c.want, j.Held())
 			}
--- a/internal/decide/rollout/fleetsums.go
+++ b/internal/decide/rollout/fleetsums.go
@@ -140,6 +140,9 @@
 		all.merge(&p)
 		allTotal.merge(&total)
 	}
+	if all.old.Requests < minOldRequests {
+		all.old = allTotal.old
+	}
 	return inBoth(&all, &allTotal, exceedsTolerance)
 }
 
@@ -254,7 +257,7 @@
 	return NoRegression
 }
 
-// exceedsTolerance requires only that chance alone is unlikely.
+// exceedsTolerance requires less than a suspicion: that chance alone is unlikely.
 func exceedsTolerance(p *pair) Regression { return fleetwide.exceeded(p.groups[:], &p.old) }
 
 // suspicionEvidence is the evidence, in nats, from which a version is not given more
